lib: add the shared base: support, HTTP transport, messages and store interface

Cause: gateway, scheduler, command line and stand-ins need the same ids, units, messages, records and interfaces before they can be built side by side.

Change: strong ids and units, clock hooks, key=value logging, strict YAML and JSON readers, HTTP server and client over cpprestsdk with deadlines and size limits, bounded rings and duty threads, messages to platform, workers, endpoints and callers, table records, the store interface with a fake that injects faults, types of the decision library, and the command line that all daemons share.

Found on the way: two test processes that ran at once shared a port, and one saw the other's server behind a port that should have been closed. Tests now take a block of ports by process id.

--- /dev/null
+++ b/include/corianderscale/Daemon/ShutdownSignals.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "corianderscale/Support/Time.h"
+
+namespace coriander {
+
+/** Blocks SIGINT and SIGTERM in this thread and those it starts later, and ignores SIGPIPE. */
+void blockShutdownSignals();
+
+/**
+ * Waits for SIGINT or SIGTERM. Returns false when none came within @p wait.
+ *
+ * Precondition: blockShutdownSignals() was called before any other thread started. Thread safety: one thread.
+ */
+bool waitForShutdownSignal(Duration wait);
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Decision/Scheduler.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "corianderscale/Decision/Types.h"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace coriander::decision {
+
+struct Policy;
+
+/**
+ * Decides for one data centre which gangs run where. Pure: same events and times give the same decisions.
+ *
+ * Thread safety: not thread safe; one thread owns it.
+ */
+class Scheduler
+{
+public:
+    /** Precondition: all hooks of @p policy are set. */
+    explicit Scheduler(Policy policy);
+    ~Scheduler();
+    Scheduler(Scheduler &&) noexcept;
+    Scheduler &operator=(Scheduler &&) noexcept;
+
+    /** Takes an event and returns what is to be done, in order. Times never go backwards. */
+    std::vector<Decision> handle(const Event &event, MonotonicTime now);
+
+    /** Says why a job is where it is, or no value for an unknown job. */
+    std::optional<Explanation> explain(const JobId &job, MonotonicTime now) const;
+
+    /** When the library next wants a Tick, or NeverDue. */
+    MonotonicTime nextTick() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+/** Returns a policy by name: `corianderscale`, `fifo-first-fit`, `quota-best-fit`; no value for others. */
+std::optional<Policy> makePolicy(std::string_view name);
+
+/**
+ * Whether all guarantees of one data centre can be packed at once into the racks. On failure @p reason names the
+ * shape that does not fit. Thread safety: pure function.
+ */
+bool packGuarantees(const std::vector<WorkerSpec> &workers,
+                    const std::vector<OrganisationPolicy> &organisations,
+                    std::string &reason);
+
+} // namespace coriander::decision
--- /dev/null
+++ b/include/corianderscale/Decision/Types.h
@@ -0,0 +1,267 @@
+#pragma once
+
+#include "corianderscale/Support/StrongId.h"
+#include "corianderscale/Support/Time.h"
+#include "corianderscale/Support/Units.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** The pure decision library: no threads, sockets, logs or clocks. */
+namespace coriander::decision {
+
+/** Resources of a worker or of one task. */
+struct Resources {
+    MilliCores cores;
+    MemoryMib memory;
+    Accelerators accelerators;
+
+    auto operator<=>(const Resources &) const = default;
+};
+
+enum class JobClass {
+    Urgent,
+    Normal,
+    Background,
+};
+
+/** How close together the accelerators of a gang or guarantee must be. */
+enum class Closeness {
+    None,
+    Rack,
+    Worker,
+};
+
+/** A worker as the scheduler sees it. */
+struct WorkerSpec {
+    WorkerId id;
+    RackId rack;
+    /** Place in the rack; neighbours differ by one. */
+    std::int64_t position = 0;
+    Resources capacity;
+};
+
+/** One guaranteed shape of an organisation, @c count times, in one data centre. */
+struct Guarantee {
+    DataCentreId dataCentre;
+    /** Accelerators of one instance of the shape. */
+    Accelerators accelerators;
+    Closeness closeness = Closeness::Rack;
+    std::int64_t count = 1;
+};
+
+/** Weight, quota and guarantees of an organisation in this data centre. */
+struct OrganisationPolicy {
+    OrganisationId id;
+    std::int64_t weight = 1;
+    /** The most accelerators in use at once; 0 for no bound. */
+    Accelerators quota;
+    std::vector<Guarantee> guarantees;
+};
+
+/** A job as submitted. */
+struct JobRequest {
+    JobId id;
+    OrganisationId organisation;
+    CallerId caller;
+    /** Jobs of one caller and kind are expected to resemble each other. */
+    std::string kind;
+    std::int64_t tasks = 1;
+    /** Declared resources of one task. */
+    Resources perTask;
+    Closeness closeness = Closeness::None;
+    JobClass jobClass = JobClass::Normal;
+    /** Declared run time; zero when unknown. Often wrong by large factors. */
+    Duration declaredRun{};
+    /** When the job must have finished; NeverDue for no deadline. */
+    MonotonicTime deadline = NeverDue;
+    bool canCheckpoint = false;
+    /** Whether the job claims its organisation's guarantee; otherwise it only borrows. */
+    bool useGuarantee = false;
+    MonotonicTime submittedAt{};
+};
+
+/** Where the tasks of a gang run: element i is the worker of task i. */
+using GangPlacement = std::vector<WorkerId>;
+
+/** @name Events */
+///@{
+struct WorkerJoined {
+    WorkerSpec worker;
+};
+/** The worker is gone or unreachable; its tasks no longer run, or end within their lease. */
+struct WorkerLost {
+    WorkerId worker;
+};
+/** The worker takes no new tasks; running ones may end. */
+struct WorkerDraining {
+    WorkerId worker;
+};
+struct OrganisationsChanged {
+    std::vector<OrganisationPolicy> organisations;
+};
+struct JobSubmitted {
+    JobRequest job;
+};
+/** A job found running by a new owner; it keeps its placement. */
+struct JobAdopted {
+    JobRequest job;
+    GangPlacement placement;
+    MonotonicTime startedAt{};
+    bool guaranteed = false;
+    std::int64_t attempt = 1;
+};
+struct JobCancelled {
+    JobId job;
+};
+/** All members of the gang have started. */
+struct GangStarted {
+    JobId job;
+    std::int64_t attempt = 0;
+};
+/** A member refused or did not answer; the others were released and no member runs. */
+struct GangStartFailed {
+    JobId job;
+    std::int64_t attempt = 0;
+    std::vector<WorkerId> refusedBy;
+};
+/** All members have ended, or their leases have lapsed, after a StopGang or a lost member. */
+struct GangStopped {
+    JobId job;
+    std::int64_t attempt = 0;
+    /** Whether the work done so far is kept. */
+    bool checkpointed = false;
+};
+/** The gang ended by itself. */
+struct GangEnded {
+    JobId job;
+    std::int64_t attempt = 0;
+    bool succeeded = false;
+    /** On failure the worker whose task failed first. */
+    WorkerId failedOn;
+};
+/** Present use of one task, possibly seconds old. */
+struct UsageObserved {
+    JobId job;
+    WorkerId worker;
+    Resources used;
+};
+/** Time has passed; lets the library act on deadlines. */
+struct Tick {
+};
+using Event = std::variant<WorkerJoined,
+                           WorkerLost,
+                           WorkerDraining,
+                           OrganisationsChanged,
+                           JobSubmitted,
+                           JobAdopted,
+                           JobCancelled,
+                           GangStarted,
+                           GangStartFailed,
+                           GangStopped,
+                           GangEnded,
+                           UsageObserved,
+                           Tick>;
+///@}
+
+enum class StopReason {
+    Preempted,
+    Cancelled,
+    MemberLost,
+    OverSize,
+    Compaction,
+    Drain,
+};
+
+/** @name Decisions */
+///@{
+/** Reserve on all workers, then start all tasks; answered by GangStarted or GangStartFailed. */
+struct StartGang {
+    JobId job;
+    std::int64_t attempt = 0;
+    GangPlacement placement;
+    /** Whether the gang runs on its organisation's guarantee; otherwise it is lent. */
+    bool guaranteed = false;
+    /** Whether to resume from a checkpoint. */
+    bool resume = false;
+};
+/** Stop all members; answered by GangStopped. */
+struct StopGang {
+    JobId job;
+    std::int64_t attempt = 0;
+    StopReason reason = StopReason::Preempted;
+    bool checkpoint = false;
+    /** Members that still run at this time are stopped without a checkpoint. */
+    MonotonicTime stopBy{};
+};
+struct ThrottleTask {
+    JobId job;
+    WorkerId worker;
+    MilliCores cores;
+};
+/** Terminal: the job is not run. */
+struct RefuseJob {
+    JobId job;
+    /** `can-never-run`, `over-quota`, `overloaded` or `too-late`. */
+    std::string code;
+    std::string reason;
+};
+/** Terminal: the job ran and failed for good. */
+struct FailJob {
+    JobId job;
+    std::string reason;
+};
+/** Terminal. */
+struct FinishJob {
+    JobId job;
+};
+/** Terminal: no member runs any more. */
+struct CancelJob {
+    JobId job;
+};
+/** The worker gets no gangs until it is released again; the library sends it probes itself. */
+struct QuarantineWorker {
+    WorkerId worker;
+    std::string reason;
+};
+struct ReleaseWorker {
+    WorkerId worker;
+};
+struct GuaranteeImpaired {
+    OrganisationId organisation;
+    std::string reason;
+    MonotonicTime since{};
+};
+struct GuaranteeRestored {
+    OrganisationId organisation;
+};
+/** The job can probably not meet its deadline; said early. */
+struct DeadlineAtRisk {
+    JobId job;
+    std::string reason;
+};
+using Decision = std::variant<StartGang,
+                              StopGang,
+                              ThrottleTask,
+                              RefuseJob,
+                              FailJob,
+                              FinishJob,
+                              CancelJob,
+                              QuarantineWorker,
+                              ReleaseWorker,
+                              GuaranteeImpaired,
+                              GuaranteeRestored,
+                              DeadlineAtRisk>;
+///@}
+
+/** Why a job waits, for people. */
+struct Explanation {
+    std::string state;
+    std::string reason;
+    /** What would have to change for it to start. */
+    std::string remedy;
+};
+
+} // namespace coriander::decision
--- /dev/null
+++ b/include/corianderscale/Standin/TableModel.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "corianderscale/Protocol/TableMessages.h"
+#include "corianderscale/Support/Time.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace coriander {
+
+/**
+ * In-memory model of the platform's transactional table, for the stand-in and for fakes in tests.
+ *
+ * Thread safety: not thread safe; the owner serialises access.
+ */
+class TableModel
+{
+public:
+    /** Applies a transaction, or returns the first outcome when the operation was applied within ten minutes. */
+    TableTransactionResult commit(const TableTransaction &transaction, MonotonicTime now);
+
+    /** One row for each key, absent ones with version 0. */
+    TableRows read(const TableRead &request) const;
+
+    /** Rows by prefix in key order. */
+    TableRows scan(const TableScan &request) const;
+
+private:
+    struct Value {
+        std::string value;
+        RowVersion version;
+    };
+
+    struct Applied {
+        MonotonicTime forgetAt;
+        OperationId operation;
+    };
+
+    void forgetOldOperations(MonotonicTime now);
+
+    std::map<std::string, Value> m_rows;
+    std::map<OperationId, TableTransactionResult> m_outcomes;
+    std::deque<Applied> m_applied;
+    RowVersion m_lastVersion;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Support/Log.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "corianderscale/Support/StrongId.h"
+#include "corianderscale/Support/Units.h"
+
+#include <fmt/format.h>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace coriander {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** One key and its value as text; the value is quoted when it needs to be. */
+struct LogField {
+    template<typename Value>
+    LogField(std::string_view fieldKey, const Value &fieldValue)
+        : key(fieldKey)
+        , value(fmt::format("{}", fieldValue))
+    {
+    }
+
+    std::string key;
+    std::string value;
+};
+
+/**
+ * Names the process in every line it logs. Call once, before other threads start.
+ */
+void setLogProcess(std::string_view program, std::string_view instance);
+
+/** Drops events below @p level. Thread safety: any thread. */
+void setLogLevel(LogLevel level);
+
+/**
+ * Writes one line of key=value pairs to standard error: time, level, program, instance, event, then @p fields.
+ *
+ * Thread safety: any thread; lines are written whole.
+ */
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+/** Formats one field as `key=value`, quoting and escaping the value when it holds spaces, quotes or controls. */
+std::string formatLogField(const LogField &field);
+
+} // namespace coriander
+
+template<typename Tag>
+struct fmt::formatter<coriander::StrongId<Tag>> : fmt::formatter<std::string_view> {
+    template<typename Context>
+    auto format(const coriander::StrongId<Tag> &id, Context &context) const
+    {
+        return fmt::formatter<std::string_view>::format(id.value(), context);
+    }
+};
+
+template<typename Tag>
+struct fmt::formatter<coriander::Quantity<Tag>> : fmt::formatter<std::int64_t> {
+    template<typename Context>
+    auto format(const coriander::Quantity<Tag> &quantity, Context &context) const
+    {
+        return fmt::formatter<std::int64_t>::format(quantity.count(), context);
+    }
+};
--- /dev/null
+++ b/include/corianderscale/Transport/HttpServer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "corianderscale/Transport/Http.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** Sends the response of one request; may be called once, from any thread, during or after the handler. */
+using HttpRespond = std::function<void(HttpResponse)>;
+
+/**
+ * Handles one request. @p captures holds the parts of the path that matched `{name}` of the pattern, in order.
+ * Runs on a thread of the HTTP library and must not block for long.
+ */
+using HttpHandler
+    = std::function<void(const HttpRequest &request, const std::vector<std::string> &captures, HttpRespond respond)>;
+
+/** Limits of a server. */
+struct HttpServerLimits {
+    std::size_t maximumBodyBytes = 1024 * 1024;
+    /** Requests in progress; more are answered 503. */
+    std::size_t maximumRequests = 4096;
+    /** How long the library waits for a whole request, in seconds. */
+    int receiveTimeoutSeconds = 10;
+};
+
+/**
+ * HTTP/1.1 server over cpprestsdk.
+ *
+ * Thread safety: route() only before start(); the other methods from any one thread.
+ */
+class HttpServer
+{
+public:
+    /** @p address is a base address such as `http://127.0.0.1:8080`. */
+    HttpServer(std::string address, HttpServerLimits limits);
+    /** Stops the server. */
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** Serves @p method on paths that match @p pattern, such as `/v1/jobs/{id}`. Precondition: not started. */
+    void route(const std::string &method, const std::string &pattern, HttpHandler handler);
+
+    /** Opens the port. Returns false with the reason when it cannot be opened. */
+    bool start(TransportError &error);
+
+    /** Closes the port and waits for requests in progress to be answered, at most until the deadline. */
+    void stop(MonotonicTime deadline);
+
+    /** Number of requests that have not been answered. Thread safety: any thread. */
+    std::size_t requestsInProgress() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Support/StrongId.cpp
@@ -0,0 +1,49 @@
+#include "corianderscale/Support/StrongId.h"
+
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <vector>
+
+namespace coriander {
+
+namespace {
+
+constexpr std::size_t MaximumNameLength = 63;
+
+bool isNameStart(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+}
+
+} // namespace
+
+bool isValidName(std::string_view text)
+{
+    if (text.empty() || text.size() > MaximumNameLength) {
+        return false;
+    }
+    if (!isNameStart(text.front())) {
+        return false;
+    }
+    return std::all_of(text.begin(), text.end(), [](char c) { return isNameStart(c) || c == '-'; });
+}
+
+std::string randomHex(std::size_t bytes)
+{
+    std::vector<unsigned char> buffer(bytes);
+    if (RAND_bytes(buffer.data(), static_cast<int>(bytes)) != 1) {
+        throw std::runtime_error("the operating system gave no random bytes");
+    }
+    constexpr char Digits[] = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes * 2);
+    for (unsigned char byte : buffer) {
+        text += Digits[byte >> 4];
+        text += Digits[byte & 15];
+    }
+    return text;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Support/Time.cpp
@@ -0,0 +1,35 @@
+#include "corianderscale/Support/Time.h"
+
+namespace coriander {
+
+Clock systemClock()
+{
+    return Clock{
+        [] {
+            const auto now = std::chrono::steady_clock::now().time_since_epoch();
+            return MonotonicTime(std::chrono::duration_cast<Duration>(now));
+        },
+        [] {
+            const auto now = std::chrono::system_clock::now().time_since_epoch();
+            return WallTime(std::chrono::duration_cast<Duration>(now));
+        },
+    };
+}
+
+std::int64_t toUnixMs(WallTime time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+WallTime fromUnixMs(std::int64_t milliseconds)
+{
+    return WallTime(std::chrono::milliseconds(milliseconds));
+}
+
+MonotonicTime toMonotonic(WallTime deadline, const Clock &clock)
+{
+    const Duration left = deadline - clock.wallNow();
+    return clock.now() + left;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Support/YamlReader.cpp
@@ -0,0 +1,236 @@
+#include "corianderscale/Support/YamlReader.h"
+
+#include "corianderscale/Support/StrongId.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace coriander {
+
+std::string YamlFault::toString() const
+{
+    if (key.empty()) {
+        return fmt::format("{}:{}:{}: {}", file, line, column, expected);
+    }
+    return fmt::format("{}:{}:{}: {}: {}", file, line, column, key, expected);
+}
+
+YamlMap::YamlMap(YAML::Node node, std::string file, std::string path, std::vector<YamlFault> &faults)
+    : m_node(std::move(node))
+    , m_file(std::move(file))
+    , m_path(std::move(path))
+    , m_faults(&faults)
+{
+    if (!m_node.IsMap()) {
+        faultAt(m_node, m_path, "expected a map of keys and values");
+    }
+}
+
+YAML::Node YamlMap::node(const std::string &key)
+{
+    m_known.insert(key);
+    if (!m_node.IsMap()) {
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+    return m_node[key];
+}
+
+std::string YamlMap::requiredText(const std::string &key)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        fault(key, "missing; expected a text");
+        return {};
+    }
+    if (!value.IsScalar()) {
+        faultAt(value, pathOf(key), "expected a text");
+        return {};
+    }
+    return value.Scalar();
+}
+
+std::string YamlMap::requiredName(const std::string &key)
+{
+    const std::string value = requiredText(key);
+    if (!value.empty() && !isValidName(value)) {
+        fault(key, "expected a name of at most 63 lower-case letters, digits and hyphens");
+    }
+    return value;
+}
+
+std::string YamlMap::text(const std::string &key, const std::string &fallback)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return fallback;
+    }
+    return requiredText(key);
+}
+
+std::int64_t YamlMap::requiredInteger(const std::string &key, std::int64_t least, std::int64_t most)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        fault(key, fmt::format("missing; expected a whole number from {} to {}", least, most));
+        return least;
+    }
+    std::int64_t number = 0;
+    if (!value.IsScalar() || !YAML::convert<std::int64_t>::decode(value, number) || number < least || number > most) {
+        faultAt(value, pathOf(key), fmt::format("expected a whole number from {} to {}", least, most));
+        return least;
+    }
+    return number;
+}
+
+std::int64_t YamlMap::integer(const std::string &key, std::int64_t fallback, std::int64_t least, std::int64_t most)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return fallback;
+    }
+    return requiredInteger(key, least, most);
+}
+
+bool YamlMap::boolean(const std::string &key, bool fallback)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return fallback;
+    }
+    bool result = fallback;
+    if (!value.IsScalar() || !YAML::convert<bool>::decode(value, result)) {
+        faultAt(value, pathOf(key), "expected true or false");
+        return fallback;
+    }
+    return result;
+}
+
+std::string YamlMap::choice(const std::string &key,
+                            const std::string &fallback,
+                            const std::vector<std::string> &choices)
+{
+    const std::string value = text(key, fallback);
+    if (std::find(choices.begin(), choices.end(), value) == choices.end()) {
+        fault(key, fmt::format("expected one of: {}", fmt::join(choices, ", ")));
+        return fallback;
+    }
+    return value;
+}
+
+std::vector<std::string> YamlMap::texts(const std::string &key)
+{
+    std::vector<std::string> result;
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return result;
+    }
+    if (!value.IsSequence()) {
+        faultAt(value, pathOf(key), "expected a list of texts");
+        return result;
+    }
+    for (const YAML::Node &item : value) {
+        if (!item.IsScalar()) {
+            faultAt(item, pathOf(key), "expected a text");
+            continue;
+        }
+        result.push_back(item.Scalar());
+    }
+    return result;
+}
+
+std::optional<YamlMap> YamlMap::requiredMap(const std::string &key)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || !value.IsMap()) {
+        fault(key, "missing; expected a map of keys and values");
+        return std::nullopt;
+    }
+    return YamlMap(value, m_file, pathOf(key), *m_faults);
+}
+
+void YamlMap::forEachMap(const std::string &key, const std::function<void(YamlMap &)> &visit)
+{
+    const YAML::Node value = node(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return;
+    }
+    if (!value.IsSequence()) {
+        faultAt(value, pathOf(key), "expected a list");
+        return;
+    }
+    for (std::size_t i = 0; i < value.size(); ++i) {
+        YamlMap item(value[i], m_file, fmt::format("{}[{}]", pathOf(key), i), *m_faults);
+        visit(item);
+    }
+}
+
+void YamlMap::fault(const std::string &key, const std::string &expected)
+{
+    YAML::Node place = m_node;
+    if (m_node.IsMap() && m_node[key].IsDefined()) {
+        place.reset(m_node[key]);
+    }
+    faultAt(place, pathOf(key), expected);
+}
+
+void YamlMap::finish()
+{
+    if (!m_node.IsMap()) {
+        return;
+    }
+    for (const auto &entry : m_node) {
+        const std::string key = entry.first.Scalar();
+        if (m_known.count(key) == 0) {
+            faultAt(
+                entry.first, pathOf(key), fmt::format("unknown key; expected one of: {}", fmt::join(m_known, ", ")));
+        }
+    }
+}
+
+std::string YamlMap::pathOf(const std::string &key) const
+{
+    return m_path.empty() ? key : m_path + "." + key;
+}
+
+void YamlMap::faultAt(const YAML::Node &node, const std::string &key, const std::string &expected)
+{
+    const YAML::Mark mark = node.Mark();
+    m_faults->push_back({m_file, mark.line + 1, mark.column + 1, key, expected});
+}
+
+std::optional<YAML::Node> parseYaml(const std::string &content, const std::string &file, std::vector<YamlFault> &faults)
+{
+    try {
+        YAML::Node root = YAML::Load(content);
+        if (!root.IsMap()) {
+            faults.push_back({file, 1, 1, {}, "expected a map of keys and values at the top of the file"});
+            return std::nullopt;
+        }
+        return root;
+    } catch (const YAML::Exception &exception) {
+        faults.push_back({file, exception.mark.line + 1, exception.mark.column + 1, {}, exception.msg});
+        return std::nullopt;
+    }
+}
+
+std::optional<std::string> readTextFile(const std::string &file, std::size_t mostBytes, std::vector<YamlFault> &faults)
+{
+    std::ifstream stream(file, std::ios::binary);
+    if (!stream) {
+        faults.push_back({file, 0, 0, {}, "the file cannot be opened; check its path and permissions"});
+        return std::nullopt;
+    }
+    std::ostringstream content;
+    content << stream.rdbuf();
+    if (content.view().size() > mostBytes) {
+        faults.push_back({file, 0, 0, {}, fmt::format("the file is larger than {} bytes", mostBytes)});
+        return std::nullopt;
+    }
+    return content.str();
+}
+
+} // namespace coriander
--- /dev/null
+++ b/unittests/Coordination/FakeStore.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "corianderscale/Coordination/Store.h"
+#include "corianderscale/Standin/TableModel.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace coriander {
+
+/** What happens to one call of a FakeStore. */
+enum class StoreFault {
+    None,
+    /** The call is lost on the way; nothing takes effect and the caller learns that. */
+    Away,
+    /** The call is lost on the way, but the caller cannot tell. */
+    RequestLost,
+    /** The call takes effect; its answer is lost. */
+    AnswerLost,
+};
+
+/**
+ * Store that answers at once from memory, with faults chosen by a hook.
+ *
+ * The hook sees the name of the operation (`commit`, `read`, `scan`, `putObject`, `getObject`, `listVms`) and, for
+ * commits, the transaction's operation id.
+ */
+class FakeStore : public Store
+{
+public:
+    using FaultHook = std::function<StoreFault(const std::string &operation, const OperationId &id)>;
+
+    explicit FakeStore(Clock clock)
+        : m_clock(std::move(clock))
+    {
+    }
+
+    /** Chooses the fault of each call; no hook means none. */
+    void setFaults(FaultHook hook)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_faults = std::move(hook);
+    }
+
+    void setVms(VmList vms)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_vms = std::move(vms);
+    }
+
+    /** Number of transactions that reached the table. */
+    int commits() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_commits;
+    }
+
+    /** The value of a row, or empty text. */
+    std::string value(const std::string &key) const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_table.read({{key}}).rows.front().value;
+    }
+
+    void commit(TableTransaction transaction, MonotonicTime, CommitDone done) override
+    {
+        const StoreFault fault = faultOf("commit", transaction.operation);
+        if (fault == StoreFault::Away) {
+            done(std::nullopt, {CoordinationCode::StoreAway, "store away"});
+            return;
+        }
+        std::optional<TableTransactionResult> result;
+        if (fault != StoreFault::RequestLost) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            ++m_commits;
+            result = m_table.commit(transaction, m_clock.now());
+        }
+        if (fault != StoreFault::None) {
+            done(std::nullopt, {CoordinationCode::OutcomeUnknown, "no answer"});
+            return;
+        }
+        done(result, {});
+    }
+
+    void read(std::vector<std::string> keys, MonotonicTime, RowsDone done) override
+    {
+        if (!reachable("read", done)) {
+            return;
+        }
+        done(locked([&] { return m_table.read({std::move(keys)}); }), {});
+    }
+
+    void scan(TableScan scan, MonotonicTime, RowsDone done) override
+    {
+        if (!reachable("scan", done)) {
+            return;
+        }
+        done(locked([&] { return m_table.scan(scan); }), {});
+    }
+
+    void putObject(std::string key, std::string content, MonotonicTime, WriteDone done) override
+    {
+        const StoreFault fault = faultOf("putObject", {});
+        if (fault == StoreFault::None || fault == StoreFault::AnswerLost) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_objects[key] = std::move(content);
+        }
+        done(fault == StoreFault::None, fault == StoreFault::None ? CoordinationError() : away());
+    }
+
+    void getObject(std::string key, MonotonicTime, ObjectDone done) override
+    {
+        if (faultOf("getObject", {}) != StoreFault::None) {
+            done(std::nullopt, away());
+            return;
+        }
+        done(locked([&] {
+                 const auto object = m_objects.find(key);
+                 return object == m_objects.end() ? std::nullopt : std::optional<std::string>(object->second);
+             }),
+             {});
+    }
+
+    void listVms(MonotonicTime, VmsDone done) override
+    {
+        if (!reachable("listVms", done)) {
+            return;
+        }
+        done(locked([&] { return m_vms; }), {});
+    }
+
+    StoreState state() const override
+    {
+        return StoreState::Available;
+    }
+
+private:
+    static CoordinationError away()
+    {
+        return {CoordinationCode::StoreAway, "store away"};
+    }
+
+    StoreFault faultOf(const std::string &operation, const OperationId &id)
+    {
+        FaultHook hook;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            hook = m_faults;
+        }
+        return hook ? hook(operation, id) : StoreFault::None;
+    }
+
+    template<typename Done>
+    bool reachable(const std::string &operation, const Done &done)
+    {
+        if (faultOf(operation, {}) == StoreFault::None) {
+            return true;
+        }
+        done(std::nullopt, away());
+        return false;
+    }
+
+    template<typename Action>
+    auto locked(const Action &action)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return action();
+    }
+
+    Clock m_clock;
+    mutable std::mutex m_mutex;
+    TableModel m_table;
+    std::map<std::string, std::string> m_objects;
+    VmList m_vms;
+    FaultHook m_faults;
+    int m_commits = 0;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/unittests/Protocol/MessagesTest.cpp
@@ -0,0 +1,74 @@
+#include "corianderscale/Protocol/CallerMessages.h"
+#include "corianderscale/Protocol/EndpointMessages.h"
+#include "corianderscale/Protocol/TableMessages.h"
+#include "corianderscale/Protocol/WorkerMessages.h"
+
+#include <gtest/gtest.h>
+
+namespace coriander {
+namespace {
+
+// Guards against an order losing a field on the wire, which would run a task with the wrong size or term.
+TEST(Messages, ordersSurviveTheWire)
+{
+    WorkerOrders orders;
+    orders.epoch = Epoch(7);
+    orders.from = InstanceId("s1");
+    WorkerOrder reserve;
+    reserve.kind = OrderKind::Reserve;
+    reserve.task = TaskId("t");
+    reserve.job = JobId("j");
+    reserve.cores = MilliCores(1500);
+    reserve.memory = MemoryMib(2048);
+    reserve.accelerators = Accelerators(4);
+    WorkerOrder renew;
+    renew.milliseconds = 45000;
+    renew.digest = taskSetDigest({TaskId("b"), TaskId("a")});
+    renew.excepted = {JobId("x")};
+    orders.orders = {reserve, renew};
+    ProtocolError error;
+    const auto decoded = decodeMessage<WorkerOrders>(encodeMessage(orders), error);
+    ASSERT_TRUE(decoded) << error.reason;
+    EXPECT_EQ(decoded->toJson(), orders.toJson());
+    EXPECT_EQ(decoded->orders[1].digest, taskSetDigest({TaskId("a"), TaskId("b")}));
+}
+
+// Guards against a refusal without proof being taken as "did not run".
+TEST(Messages, refusalWithoutProofCountsAsStarted)
+{
+    ProtocolError error;
+    const auto refusal = decodeMessage<EndpointRefusal>(std::string_view(R"({"code":"slot-full"})"), error);
+    ASSERT_TRUE(refusal);
+    EXPECT_TRUE(refusal->started);
+}
+
+// Guards against malformed input of callers ending the process or passing with a default.
+TEST(Messages, faultyJobsAreNamed)
+{
+    const auto reasonFor = [](std::string_view text) {
+        ProtocolError error;
+        EXPECT_FALSE(decodeMessage<JobSpec>(text, error));
+        return error.reason;
+    };
+    EXPECT_EQ(reasonFor("{"), "the message is not valid JSON");
+    EXPECT_EQ(reasonFor("[]"), "message: expected an object");
+    EXPECT_EQ(reasonFor("{}"), "command: missing; expected a text");
+    EXPECT_EQ(reasonFor(R"({"command":"c","tasks":65})"), "tasks: expected a whole number from 1 to 64");
+    EXPECT_EQ(reasonFor(R"({"command":"c","tasks":18446744073709551615})"),
+              "tasks: expected a whole number from 1 to 64");
+    EXPECT_EQ(reasonFor(R"({"command":"c","urgency":"now"})"), "urgency: expected one of: urgent, normal, background");
+    EXPECT_EQ(reasonFor(std::string(10000, '[')), "the message is nested deeper than 32 levels");
+}
+
+// Guards against a transaction larger than the service takes being built and refused only by the service.
+TEST(Messages, transactionWritesAreBounded)
+{
+    TableTransaction transaction;
+    transaction.operation = OperationId("o");
+    transaction.puts.resize(MaximumTransactionWrites + 1);
+    ProtocolError error;
+    EXPECT_FALSE(decodeMessage<TableTransaction>(encodeMessage(transaction), error));
+}
+
+} // namespace
+} // namespace coriander
--- /dev/null
+++ b/unittests/Transport/HttpTest.cpp
@@ -0,0 +1,118 @@
+#include "corianderscale/Transport/BoundedRing.h"
+#include "corianderscale/Transport/HttpClient.h"
+#include "corianderscale/Transport/HttpServer.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "Support/TestAddress.h"
+
+namespace coriander {
+namespace {
+
+constexpr auto Patience = std::chrono::seconds(20);
+
+class Http : public ::testing::Test
+{
+protected:
+    Http()
+        : m_clock(systemClock())
+        , m_client(m_clock)
+        , m_server(testAddress(0), {.maximumBodyBytes = 1000, .maximumRequests = 16, .receiveTimeoutSeconds = 1})
+    {
+    }
+
+    std::optional<HttpResponse> call(const HttpRequest &request, TransportError &error)
+    {
+        return m_client.call(testAddress(0), request, m_clock.now() + Patience, error);
+    }
+
+    Clock m_clock;
+    HttpClient m_client;
+    HttpServer m_server;
+};
+
+// Guards against captures, queries, headers or bodies being lost or decoded twice on the way.
+TEST_F(Http, requestArrivesWhole)
+{
+    m_server.route(
+        "PUT", "/v1/items/{key}/end", [](const HttpRequest &request, const auto &captures, const auto &respond) {
+            HttpResponse response;
+            response.headers["X-Seen"] = request.header("x-sent");
+            response.body = captures.at(0) + "|" + request.parameter("q") + "|" + request.body;
+            respond(response);
+        });
+    TransportError error;
+    ASSERT_TRUE(m_server.start(error)) << error.reason;
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/v1/items/one/end";
+    request.query["q"] = "a b&c";
+    request.headers["X-Sent"] = "yes";
+    request.body = std::string("body\0!", 6);
+    const auto response = call(request, error);
+    ASSERT_TRUE(response) << error.reason;
+    EXPECT_EQ(response->header("X-Seen"), "yes");
+    EXPECT_EQ(response->body, std::string("one|a b&c|body\0!", 16));
+}
+
+// Guards against oversized bodies reaching a handler and against unknown paths hanging.
+TEST_F(Http, refusesOversizedAndUnknown)
+{
+    m_server.route("POST", "/only", [](const HttpRequest &, const auto &, const auto &respond) { respond({}); });
+    TransportError error;
+    ASSERT_TRUE(m_server.start(error)) << error.reason;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/only";
+    request.body.assign(2000, 'x');
+    EXPECT_EQ(call(request, error)->status, 413);
+    request.body.clear();
+    request.path = "/other";
+    EXPECT_EQ(call(request, error)->status, 404);
+    request.method = "GET";
+    request.path = "/only";
+    EXPECT_EQ(call(request, error)->status, 405);
+}
+
+// Guards against a request that is never answered holding its sender past the deadline.
+TEST_F(Http, deadlineEndsTheCall)
+{
+    HttpRespond kept;
+    m_server.route(
+        "GET", "/never", [&kept](const HttpRequest &, const auto &, const auto &respond) { kept = respond; });
+    TransportError error;
+    ASSERT_TRUE(m_server.start(error)) << error.reason;
+    HttpRequest request;
+    request.path = "/never";
+    const auto response = m_client.call(testAddress(0), request, m_clock.now() + std::chrono::milliseconds(100), error);
+    EXPECT_FALSE(response);
+    EXPECT_EQ(error.code, TransportCode::Timeout);
+    kept({});
+}
+
+// Guards against "nothing was sent" being claimed wrongly, or not being known when the port is closed.
+TEST_F(Http, closedPortIsUnreachable)
+{
+    TransportError error;
+    EXPECT_FALSE(call({}, error));
+    EXPECT_EQ(error.code, TransportCode::Unreachable);
+}
+
+// Guards against a full ring losing an item silently or growing without bound.
+TEST(BoundedRing, refusesWhenFullAndKeepsOrder)
+{
+    BoundedRing<int> ring(2);
+    EXPECT_TRUE(ring.push(1));
+    EXPECT_TRUE(ring.push(2));
+    EXPECT_FALSE(ring.push(3));
+    EXPECT_EQ(ring.pop(Duration(0)), 1);
+    EXPECT_TRUE(ring.push(4));
+    EXPECT_EQ(ring.pop(Duration(0)), 2);
+    EXPECT_EQ(ring.pop(Duration(0)), 4);
+    EXPECT_EQ(ring.pop(Duration(0)), std::nullopt);
+}
+
+} // namespace
+} // namespace coriander
