support: record logged events in a bounded ring with hybrid logical times

Cause: on-call engineers need one timeline over all processes, with causes before effects although the machines' clocks differ.

The messages and the merge for a query over all processes are in TimelineMessages.

--- /dev/null
+++ b/include/corianderscale/Protocol/TimelineMessages.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "corianderscale/Protocol/JsonReader.h"
+#include "corianderscale/Support/EventRing.h"
+
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** Name of the peer message that asks a process for its events. */
+inline constexpr char TimelineMessage[] = "timeline";
+
+/** Body of the peer message `timeline`. */
+struct TimelineQuery {
+    TimelineFilter filter;
+
+    Json toJson() const;
+    static TimelineQuery fromJson(JsonReader &reader);
+};
+
+/** Reply to the peer message `timeline`: the events of one process. */
+struct ProcessTimeline {
+    InstanceId instance;
+    std::vector<TimelineEvent> events;
+    /** Events that the process had already dropped. */
+    std::int64_t dropped = 0;
+
+    Json toJson() const;
+    static ProcessTimeline fromJson(JsonReader &reader);
+};
+
+/** One event and the process it comes from. */
+struct MergedEvent {
+    InstanceId instance;
+    TimelineEvent event;
+};
+
+/** All events in the order of their hybrid times: cause before effect. Thread safety: pure function. */
+std::vector<MergedEvent> mergeTimelines(const std::vector<ProcessTimeline> &timelines);
+
+/** The events of this process that pass the filter. Thread safety: any thread. */
+ProcessTimeline localTimeline(const InstanceId &instance, const TimelineFilter &filter);
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Support/EventRing.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "corianderscale/Support/HybridClock.h"
+#include "corianderscale/Support/Log.h"
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** One event of the timeline, with the ids it concerns among its fields. */
+struct TimelineEvent {
+    HybridTime time;
+    std::string event;
+    std::vector<LogField> fields;
+};
+
+/** Which events are wanted. */
+struct TimelineFilter {
+    HybridTime since;
+    /** When set, only events with a field of this value, such as a job id. */
+    std::string id;
+    std::size_t most = 1000;
+};
+
+/**
+ * Keeps the newest events of a process.
+ *
+ * Thread safety: all methods from any thread.
+ */
+class EventRing
+{
+public:
+    /** Precondition: @p capacity is at least 1. */
+    explicit EventRing(std::size_t capacity);
+
+    /** Adds an event; the oldest is dropped when the ring is full. */
+    void add(TimelineEvent event);
+
+    /** The newest events that pass the filter, oldest first. */
+    std::vector<TimelineEvent> select(const TimelineFilter &filter) const;
+
+    /** How many events were dropped since the start. */
+    std::size_t dropped() const;
+
+private:
+    std::size_t m_capacity;
+    mutable std::mutex m_mutex;
+    std::deque<TimelineEvent> m_events;
+    std::size_t m_dropped = 0;
+};
+
+/** The events of this process; logEvent() adds all events from level Info on. */
+EventRing &processEvents();
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Protocol/TimelineMessages.cpp
@@ -0,0 +1,102 @@
+#include "corianderscale/Protocol/TimelineMessages.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+namespace {
+
+/** Bounds the reply to one query. */
+constexpr std::int64_t MaximumEvents = 8192;
+
+Json eventToJson(const TimelineEvent &event)
+{
+    Json fields = Json::array();
+    for (const LogField &field : event.fields) {
+        fields.push_back({{"key", field.key}, {"value", field.value}});
+    }
+    return {{"time", event.time.toText()}, {"event", event.event}, {"fields", std::move(fields)}};
+}
+
+HybridTime readTime(JsonReader &reader, const std::string &key)
+{
+    const std::optional<HybridTime> time = parseHybridTime(reader.requiredText(key));
+    if (!time) {
+        reader.fault(key, "expected a hybrid time such as 1700000000000000.0");
+    }
+    return time.value_or(HybridTime());
+}
+
+TimelineEvent eventFromJson(JsonReader &reader)
+{
+    TimelineEvent event;
+    event.time = readTime(reader, "time");
+    event.event = reader.requiredText("event");
+    reader.forEachObject("fields", [&event](JsonReader &item) {
+        const std::string key = item.requiredText("key");
+        event.fields.emplace_back(key, item.requiredText("value"));
+    });
+    return event;
+}
+
+} // namespace
+
+Json TimelineQuery::toJson() const
+{
+    return {{"since", filter.since.toText()}, {"id", filter.id}, {"most", filter.most}};
+}
+
+TimelineQuery TimelineQuery::fromJson(JsonReader &reader)
+{
+    TimelineQuery query;
+    query.filter.since = readTime(reader, "since");
+    query.filter.id = reader.text("id");
+    query.filter.most = static_cast<std::size_t>(reader.integer("most", 1000, 1, MaximumEvents));
+    return query;
+}
+
+Json ProcessTimeline::toJson() const
+{
+    Json list = Json::array();
+    for (const TimelineEvent &event : events) {
+        list.push_back(eventToJson(event));
+    }
+    return {{"instance", instance.value()}, {"events", std::move(list)}, {"dropped", dropped}};
+}
+
+ProcessTimeline ProcessTimeline::fromJson(JsonReader &reader)
+{
+    ProcessTimeline timeline;
+    timeline.instance = reader.requiredId<InstanceId>("instance");
+    reader.forEachObject("events", [&timeline](JsonReader &item) { timeline.events.push_back(eventFromJson(item)); });
+    timeline.dropped = reader.integer("dropped", 0);
+    return timeline;
+}
+
+std::vector<MergedEvent> mergeTimelines(const std::vector<ProcessTimeline> &timelines)
+{
+    std::vector<MergedEvent> merged;
+    for (const ProcessTimeline &timeline : timelines) {
+        for (const TimelineEvent &event : timeline.events) {
+            merged.push_back({timeline.instance, event});
+        }
+    }
+    std::stable_sort(merged.begin(), merged.end(), [](const MergedEvent &left, const MergedEvent &right) {
+        if (left.event.time != right.event.time) {
+            return left.event.time < right.event.time;
+        }
+        return left.instance < right.instance;
+    });
+    return merged;
+}
+
+ProcessTimeline localTimeline(const InstanceId &instance, const TimelineFilter &filter)
+{
+    ProcessTimeline timeline;
+    timeline.instance = instance;
+    timeline.events = processEvents().select(filter);
+    timeline.dropped = static_cast<std::int64_t>(processEvents().dropped());
+    return timeline;
+}
+
+} // namespace coriander
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Support/Log.h"
 
+#include "corianderscale/Support/EventRing.h"
+
 #include <fmt/chrono.h>
 
 #include <algorithm>
@@ -78,6 +80,9 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
+    if (level >= LogLevel::Info) {
+        processEvents().add({processClock().tick(), std::string(event), fields});
+    }
     if (level < minimumLevel.load()) {
         return;
     }
--- a/unittests/Protocol/MessagesTest.cpp
+++ b/unittests/Protocol/MessagesTest.cpp
@@ -1,6 +1,7 @@
 #include "corianderscale/Protocol/CallerMessages.h"
 #include "corianderscale/Protocol/EndpointMessages.h"
 #include "corianderscale/Protocol/TableMessages.h"
+#include "corianderscale/Protocol/TimelineMessages.h"
 #include "corianderscale/Protocol/WorkerMessages.h"
 
 #include <gtest/gtest.h>
@@ -70,5 +71,21 @@
     EXPECT_FALSE(decodeMessage<TableTransaction>(encodeMessage(transaction), error));
 }
 
+// Guards against events of several processes being listed by process instead of by cause and effect.
+TEST(Messages, timelinesMergeByHybridTime)
+{
+    ProcessTimeline gateway{InstanceId("gateway-1"), {{{10, 0}, "job-accepted", {}}, {{12, 1}, "job-seen", {}}}, 0};
+    const ProcessTimeline scheduler{InstanceId("scheduler-1"), {{{10, 1}, "job-placed", {{"job", "j"}}}}, 3};
+    ProtocolError error;
+    const auto decoded = decodeMessage<ProcessTimeline>(encodeMessage(scheduler), error);
+    ASSERT_TRUE(decoded) << error.reason;
+    const auto merged = mergeTimelines({gateway, *decoded});
+    ASSERT_EQ(merged.size(), 3U);
+    EXPECT_EQ(merged[0].event.event, "job-accepted");
+    EXPECT_EQ(merged[1].event.event, "job-placed");
+    EXPECT_EQ(merged[1].event.fields.at(0).value, "j");
+    EXPECT_EQ(merged[2].event.event, "job-seen");
+}
+
 } // namespace
 } // namespace coriander
