--- /dev/null
+++ b/include/corianderscale/Standin/PlatformServer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "corianderscale/Standin/Platform.h"
+#include "corianderscale/Transport/DutyThread.h"
+#include "corianderscale/Transport/HttpServer.h"
+
+#include <memory>
+#include <mutex>
+
+namespace coriander {
+
+/**
+ * Serves a PlatformModel over HTTP and holds delayed answers back.
+ *
+ * Thread safety: start() and stop() from any one thread.
+ */
+class PlatformServer
+{
+public:
+    /** @p listen is a base address such as `http://127.0.0.1:8000`. */
+    PlatformServer(const std::string &listen, PlatformOptions options, Clock clock);
+    ~PlatformServer();
+    PlatformServer(const PlatformServer &) = delete;
+    PlatformServer &operator=(const PlatformServer &) = delete;
+
+    /** Opens the port. Returns false with the reason when it cannot be opened. */
+    bool start(TransportError &error);
+
+    /** Sends the answers that are held back and closes the port. */
+    void stop();
+
+private:
+    void addRoute(const std::string &method, const std::string &pattern);
+    void answer(const HttpRequest &request, const std::vector<std::string> &captures, HttpRespond respond);
+    void sendDue();
+    void sendHeld(MonotonicTime until);
+
+    Clock m_clock;
+    std::mutex m_mutex;
+    PlatformModel m_model;
+    std::multimap<MonotonicTime, std::function<void()>> m_held;
+    HttpServer m_server;
+    std::unique_ptr<DutyThread> m_sender;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/tools/coriander-standin/Platform.cpp
@@ -0,0 +1,86 @@
+#include "corianderscale/Daemon/CommandLine.h"
+#include "corianderscale/Daemon/ShutdownSignals.h"
+#include "corianderscale/Standin/PlatformServer.h"
+#include "corianderscale/Support/Log.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+#include "Subcommands.h"
+
+namespace options = boost::program_options;
+using namespace coriander;
+
+namespace {
+
+std::int64_t positive(const options::variables_map &values, const char *name)
+{
+    const auto value = values[name].as<std::int64_t>();
+    if (value < 0) {
+        throw options::error(std::string("--") + name + " must not be negative");
+    }
+    return value;
+}
+
+PlatformOptions readOptions(const options::variables_map &values)
+{
+    PlatformOptions result;
+    result.writesPerSecond = positive(values, "writes-per-second");
+    result.readsPerSecond = positive(values, "reads-per-second");
+    result.vmListLag = std::chrono::milliseconds(positive(values, "vm-list-lag-ms"));
+    result.vmTimeout = std::chrono::milliseconds(positive(values, "vm-timeout-ms"));
+    return result;
+}
+
+int serve(const std::string &listen, const PlatformOptions &platformOptions)
+{
+    blockShutdownSignals();
+    setLogProcess("coriander-standin", "platform");
+    PlatformServer server(listen, platformOptions, systemClock());
+    TransportError error;
+    if (!server.start(error)) {
+        logEvent(LogLevel::Error, "start-failed", {{"reason", error.reason}});
+        return ExitFailed;
+    }
+    logEvent(LogLevel::Info, "started", {{"listen", listen}});
+    while (!waitForShutdownSignal(std::chrono::seconds(1))) { }
+    server.stop();
+    logEvent(LogLevel::Info, "stopped");
+    return ExitSuccess;
+}
+
+} // namespace
+
+/** Runs the stand-in of the platform's table, object store and VM list. */
+int runPlatform(int argc, char **argv)
+{
+    options::options_description description(
+        "coriander-standin platform: table service, object store and VM list in memory, for tests only\n\nOptions");
+    const auto number = [](std::int64_t standard) {
+        return options::value<std::int64_t>()->value_name("N")->default_value(standard);
+    };
+    description.add_options()("help", "print this help");
+    description.add_options()(
+        "listen", options::value<std::string>()->value_name("ADDRESS"), "base address, such as http://127.0.0.1:8000");
+    description.add_options()("writes-per-second", number(300), "transactions a second for all clients together");
+    description.add_options()("reads-per-second", number(2000), "reads and scans a second for all clients together");
+    description.add_options()("vm-list-lag-ms", number(2000), "age of the VM list that is handed out");
+    description.add_options()("vm-timeout-ms", number(10000), "a VM silent for this long is not listed");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return ExitSuccess;
+        }
+        if (values.count("listen") == 0) {
+            throw options::error("give --listen ADDRESS");
+        }
+        return serve(values["listen"].as<std::string>(), readOptions(values));
+    } catch (const options::error &error) {
+        std::cerr << "coriander-standin platform: " << error.what() << "; see --help\n";
+        return ExitUsage;
+    }
+}
