--- /dev/null
+++ b/include/corianderscale/Decision/Job.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "corianderscale/Decision/Types.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace coriander::decision {
+
+/** Position of a worker in the fleet's table. */
+using WorkerIndex = std::uint32_t;
+/** Position of an organisation in the share table. */
+using OrganisationIndex = std::uint32_t;
+
+/** Tasks of one gang on one worker. */
+struct GangPart {
+    WorkerIndex worker = 0;
+    std::int64_t tasks = 0;
+};
+using GangParts = std::vector<GangPart>;
+
+enum class JobState {
+    Waiting,
+    /** Has workers, but victims on them have not stopped yet. */
+    Assigned,
+    Starting,
+    Running,
+    Stopping,
+};
+
+/** One job of the scheduler. Plain data; owned by the scheduler. */
+struct Job {
+    JobRequest request;
+    /** Order of arrival; also makes every order over jobs total and repeatable. */
+    std::uint64_t sequence = 0;
+    OrganisationIndex organisation = 0;
+    std::uint32_t caller = 0;
+    JobState state = JobState::Waiting;
+    std::int64_t attempt = 0;
+    GangParts parts;
+    /** Resources of one task as placed: declared or learned. */
+    Resources size;
+    bool guaranteed = false;
+    bool hasCheckpoint = false;
+    bool cancelRequested = false;
+    bool riskReported = false;
+    bool probe = false;
+    MonotonicTime startedAt{};
+    MonotonicTime checkpointedAt{};
+    MonotonicTime checkpointAskedAt{};
+    /** Run time kept by checkpoints of earlier attempts. */
+    Duration attained{};
+    StopReason stopReason = StopReason::Preempted;
+    /** When an assigned job gives its workers up because victims did not stop. */
+    MonotonicTime assignedUntil = NeverDue;
+    /** Workers on which the job failed or was refused. */
+    std::vector<WorkerIndex> avoid;
+    std::int64_t failures = 0;
+    std::int64_t preemptions = 0;
+    bool everStarted = false;
+    std::int64_t overSizeSeen = 0;
+    MonotonicTime notBefore{};
+    MonotonicTime queuedAt{};
+    /** Key inside its caller's queue, kept so that the entry can be found again. */
+    double rank = 0;
+};
+
+/** Accelerators of the whole gang. */
+inline std::int64_t gangAccelerators(const Job &job)
+{
+    return job.request.tasks * job.request.perTask.accelerators.count();
+}
+
+/** Whether the job holds capacity of the fleet. */
+inline bool holdsCapacity(const Job &job)
+{
+    return job.state != JobState::Waiting;
+}
+
+} // namespace coriander::decision
--- /dev/null
+++ b/include/corianderscale/Decision/JobQueue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "corianderscale/Decision/Policy.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+namespace coriander::decision {
+
+/** The most waiting jobs of a data centre; bounds memory at about 20 MB. */
+inline constexpr std::size_t MaximumWaiting = 20000;
+/** The most waiting jobs of one caller, so that one flood cannot fill the queue. */
+inline constexpr std::size_t MaximumWaitingPerCaller = 4000;
+
+/**
+ * Waiting jobs, in one queue per class and caller.
+ *
+ * Thread safety: not thread safe.
+ */
+class JobQueue
+{
+public:
+    /** Precondition: the job's rank is set. */
+    void add(Job &job);
+    void remove(const Job &job);
+    bool contains(const Job &job) const;
+    std::size_t size() const
+    {
+        return m_size;
+    }
+    std::size_t sizeOf(std::uint32_t caller) const;
+
+    /** The newest job of the least urgent class, of one caller when given; null when there is none. */
+    Job *newestLeastUrgent(std::optional<std::uint32_t> caller) const;
+
+    /** What a visitor of inOrder() wants next. */
+    enum class Next {
+        Continue,
+        SkipCaller,
+        Stop,
+    };
+
+    /**
+     * Visits waiting jobs by @p score of the first job of each class and caller, then by rank. The visitor must not
+     * change the queue.
+     */
+    void inOrder(const std::function<double(const Job &)> &score, const std::function<Next(Job &)> &visit) const;
+
+    /** Visits all waiting jobs by arrival inside each queue. */
+    void forEach(const std::function<void(Job &)> &visit) const;
+
+private:
+    using Key = std::tuple<JobClass, std::uint32_t>;
+    struct ByRank {
+        bool operator()(const Job *left, const Job *right) const
+        {
+            return std::tie(left->rank, left->sequence) < std::tie(right->rank, right->sequence);
+        }
+    };
+    struct Lane {
+        std::set<Job *, ByRank> byRank;
+        std::map<std::uint64_t, Job *> byArrival;
+    };
+
+    std::map<Key, Lane> m_lanes;
+    std::map<JobClass, std::map<std::uint64_t, Job *>> m_byArrival;
+    std::map<std::uint32_t, std::size_t> m_perCaller;
+    std::size_t m_size = 0;
+};
+
+} // namespace coriander::decision
--- a/include/corianderscale/Decision/Scheduler.h
+++ b/include/corianderscale/Decision/Scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Decision/Policy.h"
 #include "corianderscale/Decision/Types.h"
 
 #include <memory>
@@ -8,8 +9,6 @@
 
 namespace coriander::decision {
 
-struct Policy;
-
 /**
  * Decides for one data centre which gangs run where. Pure: same events and times give the same decisions.
  *
@@ -30,6 +29,9 @@
     /** Says why a job is where it is, or no value for an unknown job. */
     std::optional<Explanation> explain(const JobId &job, MonotonicTime now) const;
 
+    /** All gangs that hold capacity, in the order of their submission. */
+    std::vector<PlacementView> placements() const;
+
     /** When the library next wants a Tick, or NeverDue. */
     MonotonicTime nextTick() const;
 
--- a/include/corianderscale/Decision/Types.h
+++ b/include/corianderscale/Decision/Types.h
@@ -4,6 +4,7 @@
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Support/Units.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -134,6 +135,11 @@
     /** Whether the work done so far is kept. */
     bool checkpointed = false;
 };
+/** All members have stored a checkpoint and run on; answers CheckpointGang. */
+struct GangCheckpointed {
+    JobId job;
+    std::int64_t attempt = 0;
+};
 /** The gang ended by itself. */
 struct GangEnded {
     JobId job;
@@ -161,6 +167,7 @@
                            GangStarted,
                            GangStartFailed,
                            GangStopped,
+                           GangCheckpointed,
                            GangEnded,
                            UsageObserved,
                            Tick>;
@@ -196,6 +203,11 @@
     /** Members that still run at this time are stopped without a checkpoint. */
     MonotonicTime stopBy{};
 };
+/** Store a checkpoint and run on; answered by GangCheckpointed, or not at all. */
+struct CheckpointGang {
+    JobId job;
+    std::int64_t attempt = 0;
+};
 struct ThrottleTask {
     JobId job;
     WorkerId worker;
@@ -244,6 +256,7 @@
 };
 using Decision = std::variant<StartGang,
                               StopGang,
+                              CheckpointGang,
                               ThrottleTask,
                               RefuseJob,
                               FailJob,
@@ -264,4 +277,15 @@
     std::string remedy;
 };
 
+/** A gang that holds capacity, as the scheduler sees it; for snapshots, status pages and checks. */
+struct PlacementView {
+    JobId job;
+    OrganisationId organisation;
+    std::int64_t attempt = 0;
+    GangPlacement placement;
+    /** Whether it runs on its guarantee and so is never preempted; cleared when the guarantee moves away from it. */
+    bool guaranteed = false;
+    bool stopping = false;
+};
+
 } // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/Claims.cpp
@@ -0,0 +1,110 @@
+#include <algorithm>
+
+#include "SchedulerImplementation.h"
+
+namespace coriander::decision {
+
+namespace {
+
+/** Claimants of one organisation that may fail before the others wait for the next pass. */
+constexpr std::size_t MaximumFailedClaims = 4;
+
+/** Whether the task needs no more cores and memory than its accelerators' share of the worker. */
+bool withinShare(const Resources &task, const Resources &worker)
+{
+    const std::int64_t accelerators = worker.accelerators.count();
+    return task.cores.count() * accelerators <= worker.cores.count() * task.accelerators.count()
+        && task.memory.count() * accelerators <= worker.memory.count() * task.accelerators.count();
+}
+
+struct PinRoom {
+    WorkerIndex worker = 0;
+    std::int64_t tasks = 0;
+    std::int64_t freeTasks = 0;
+};
+
+} // namespace
+
+void Scheduler::Implementation::passClaims()
+{
+    std::vector<Job *> claimants;
+    for (const auto &[organisation, jobs] : m_claimants) {
+        for (const auto &entry : jobs) {
+            claimants.push_back(std::get<Job *>(entry));
+        }
+    }
+    std::map<OrganisationIndex, std::size_t> failures;
+    for (Job *job : claimants) {
+        std::size_t &failed = failures[job->organisation];
+        if (failed < MaximumFailedClaims && job->state == JobState::Waiting && !tryClaim(*job)) {
+            ++failed;
+        }
+    }
+}
+
+bool Scheduler::Implementation::claimable(const Job &job) const
+{
+    return job.request.useGuarantee && m_policy.honoursGuarantees && job.request.perTask.accelerators.count() > 0
+        && job.request.perTask.accelerators.count() * job.request.tasks <= m_guarantees.unclaimed(job.organisation);
+}
+
+bool Scheduler::Implementation::tryClaim(Job &job)
+{
+    if (!claimable(job) || job.notBefore > m_now) {
+        return false;
+    }
+    const Resources size = sizeOf(job);
+    std::optional<VictimChoice> choice = cheapestClaim(job, size);
+    if (choice && !choice->victims.empty()
+        && m_guarantees.moveToFree(m_fleet, job.organisation, gangAccelerators(job), job.request.closeness)) {
+        choice = cheapestClaim(job, size);
+    }
+    if (!choice) {
+        return false;
+    }
+    launch(job, size, choice->parts, true, choice->victims);
+    return true;
+}
+
+std::optional<VictimChoice> Scheduler::Implementation::cheapestClaim(const Job &job, const Resources &size)
+{
+    std::map<std::uint32_t, std::vector<PinRoom>> groups;
+    const bool single = job.request.closeness == Closeness::Worker || job.request.tasks == 1;
+    for (const auto &[index, pin] : m_guarantees.pins(job.organisation)) {
+        const FleetWorker &worker = m_fleet.worker(index);
+        const std::int64_t tasks = (pin.pinned - pin.claimed) / size.accelerators.count();
+        if (tasks <= 0 || !m_fleet.usable(index) || !withinShare(size, worker.spec.capacity)) {
+            continue;
+        }
+        const std::uint32_t group = single ? index : (job.request.closeness == Closeness::Rack ? worker.rack : 0);
+        groups[group].push_back({index, tasks, countFitting(m_fleet.free(index), size, tasks)});
+    }
+    const VictimCost cost = [this, &job](const Job &victim) {
+        return victimCost(victim, job, true);
+    };
+    std::optional<VictimChoice> best;
+    for (auto &[group, rooms] : groups) {
+        std::stable_sort(rooms.begin(), rooms.end(), [](const PinRoom &left, const PinRoom &right) {
+            return left.freeTasks > right.freeTasks;
+        });
+        GangParts parts;
+        std::int64_t missing = job.request.tasks;
+        for (const PinRoom &room : rooms) {
+            const std::int64_t tasks = std::min(missing, room.tasks);
+            if (tasks > 0) {
+                parts.push_back({room.worker, tasks});
+                missing -= tasks;
+            }
+        }
+        if (missing > 0) {
+            continue;
+        }
+        std::optional<VictimChoice> choice = victimsFor(m_fleet, parts, size, cost);
+        if (choice && (!best || choice->cost < best->cost)) {
+            best = std::move(choice);
+        }
+    }
+    return best;
+}
+
+} // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/GuaranteeBook.cpp
@@ -0,0 +1,399 @@
+#include "corianderscale/Decision/GuaranteeBook.h"
+
+#include <algorithm>
+#include <set>
+
+namespace coriander::decision {
+
+namespace {
+
+const std::map<WorkerIndex, OrganisationPin> NoPins;
+
+struct Candidate {
+    WorkerIndex worker = 0;
+    /** Accelerators that no guarantee holds. */
+    std::int64_t open = 0;
+    /** Use of the organisation's own jobs that no pin covers. */
+    std::int64_t uncovered = 0;
+    /** Open accelerators that no job uses. */
+    std::int64_t idle = 0;
+};
+
+std::vector<Pin> takeFrom(std::vector<Candidate> candidates, std::int64_t wanted)
+{
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tie(left.uncovered, left.open, left.idle) > std::tie(right.uncovered, right.open, right.idle);
+    });
+    std::vector<Pin> pins;
+    for (const Candidate &candidate : candidates) {
+        const std::int64_t amount = std::min(wanted, candidate.open);
+        if (amount > 0) {
+            pins.push_back({candidate.worker, amount});
+            wanted -= amount;
+        }
+    }
+    return pins;
+}
+
+} // namespace
+
+const std::map<WorkerIndex, OrganisationPin> &GuaranteeBook::pins(OrganisationIndex organisation) const
+{
+    return organisation < m_pins.size() ? m_pins[organisation] : NoPins;
+}
+
+void GuaranteeBook::ensure(OrganisationIndex organisation)
+{
+    if (m_pins.size() <= organisation) {
+        m_pins.resize(organisation + 1);
+        m_unclaimed.resize(organisation + 1, 0);
+    }
+}
+
+void GuaranteeBook::place(Fleet &fleet, Instance &instance, std::vector<Pin> pins)
+{
+    instance.pins = std::move(pins);
+    instance.placed = true;
+    for (const Pin &pin : instance.pins) {
+        m_pins[instance.organisation][pin.worker].pinned += pin.accelerators;
+        m_unclaimed[instance.organisation] += pin.accelerators;
+        fleet.worker(pin.worker).pinned += pin.accelerators;
+    }
+}
+
+void GuaranteeBook::lift(Fleet &fleet, Instance &instance)
+{
+    std::map<WorkerIndex, OrganisationPin> &own = m_pins[instance.organisation];
+    for (const Pin &pin : instance.pins) {
+        fleet.worker(pin.worker).pinned -= pin.accelerators;
+        m_unclaimed[instance.organisation] -= pin.accelerators;
+        const auto entry = own.find(pin.worker);
+        entry->second.pinned -= pin.accelerators;
+        if (entry->second.pinned == 0 && entry->second.claimed == 0) {
+            own.erase(entry);
+        }
+    }
+    instance.pins.clear();
+    instance.placed = false;
+}
+
+void GuaranteeBook::setGuarantees(Fleet &fleet,
+                                  OrganisationIndex organisation,
+                                  const std::vector<Guarantee> &guarantees)
+{
+    ensure(organisation);
+    std::map<std::pair<std::int64_t, Closeness>, std::int64_t> wanted;
+    for (const Guarantee &guarantee : guarantees) {
+        if (guarantee.accelerators.count() > 0 && guarantee.count > 0) {
+            wanted[{guarantee.accelerators.count(), guarantee.closeness}] += guarantee.count;
+        }
+    }
+    // Instances under running jobs are kept before others of the same shape.
+    for (const bool inUse : {true, false}) {
+        for (Instance &instance : m_instances) {
+            if (instance.organisation != organisation || instance.shape.accelerators == 0) {
+                continue;
+            }
+            std::int64_t &left = wanted[{instance.shape.accelerators, instance.shape.closeness}];
+            const bool used = instance.placed && !movable(instance);
+            if (used != inUse) {
+                continue;
+            }
+            if (left > 0) {
+                --left;
+                instance.shape.accelerators = -instance.shape.accelerators;
+            } else {
+                lift(fleet, instance);
+                instance.shape.accelerators = 0;
+            }
+        }
+    }
+    std::erase_if(m_instances, [organisation](const Instance &instance) {
+        return instance.organisation == organisation && instance.shape.accelerators == 0;
+    });
+    for (Instance &instance : m_instances) {
+        instance.shape.accelerators = std::abs(instance.shape.accelerators);
+    }
+    for (const auto &[shape, count] : wanted) {
+        for (std::int64_t i = 0; i < count; ++i) {
+            m_instances.push_back({organisation, {shape.first, shape.second}, {}, false});
+        }
+    }
+    m_guaranteedInAll = 0;
+    for (const Instance &instance : m_instances) {
+        m_guaranteedInAll += instance.shape.accelerators;
+    }
+}
+
+bool GuaranteeBook::movable(const Instance &instance) const
+{
+    const std::map<WorkerIndex, OrganisationPin> &own = m_pins[instance.organisation];
+    return std::all_of(instance.pins.begin(), instance.pins.end(), [&own](const Pin &pin) {
+        const OrganisationPin &entry = own.at(pin.worker);
+        return entry.pinned - pin.accelerators >= entry.claimed;
+    });
+}
+
+std::vector<PackNode> GuaranteeBook::nodes(const Fleet &fleet) const
+{
+    std::vector<PackNode> result;
+    for (WorkerIndex index = 0; index < fleet.workers().size(); ++index) {
+        const FleetWorker &worker = fleet.worker(index);
+        const std::int64_t open = worker.spec.capacity.accelerators.count() - worker.pinned;
+        if (fleet.usable(index) && open > 0) {
+            result.push_back({index, worker.rack, open});
+        }
+    }
+    return result;
+}
+
+bool GuaranteeBook::placeDirectly(Fleet &fleet, Instance &instance)
+{
+    const std::map<WorkerIndex, OrganisationPin> &own = m_pins[instance.organisation];
+    std::map<std::uint32_t, std::vector<Candidate>> groups;
+    for (const PackNode &node : nodes(fleet)) {
+        std::uint32_t group = 0;
+        if (instance.shape.closeness == Closeness::Worker) {
+            group = node.worker;
+        } else if (instance.shape.closeness == Closeness::Rack) {
+            group = node.rack;
+        }
+        const auto entry = own.find(node.worker);
+        const std::int64_t uncovered
+            = entry == own.end() ? 0 : std::max<std::int64_t>(entry->second.claimed - entry->second.pinned, 0);
+        const std::int64_t idle = std::clamp<std::int64_t>(fleet.free(node.worker).accelerators.count(), 0, node.free);
+        groups[group].push_back({node.worker, node.free, uncovered, idle});
+    }
+    const std::vector<Candidate> *best = nullptr;
+    std::tuple<std::int64_t, std::int64_t, std::int64_t> bestKey;
+    for (const auto &[group, candidates] : groups) {
+        std::int64_t open = 0;
+        std::int64_t uncovered = 0;
+        std::int64_t idle = 0;
+        for (const Candidate &candidate : candidates) {
+            open += candidate.open;
+            uncovered += std::min(candidate.uncovered, candidate.open);
+            idle += candidate.idle;
+        }
+        // Covers running jobs first, then leaves the largest open groups whole, then prefers idle accelerators.
+        const std::tuple key(-uncovered, open, -idle);
+        if (open >= instance.shape.accelerators && (best == nullptr || key < bestKey)) {
+            best = &candidates;
+            bestKey = key;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    place(fleet, instance, takeFrom(*best, instance.shape.accelerators));
+    return true;
+}
+
+bool GuaranteeBook::repack(Fleet &fleet)
+{
+    std::vector<std::size_t> moving;
+    std::vector<std::vector<Pin>> before;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        Instance &instance = m_instances[i];
+        if (!instance.placed || movable(instance)) {
+            moving.push_back(i);
+            before.push_back(instance.pins);
+            lift(fleet, instance);
+        }
+    }
+    std::vector<PackItem> items;
+    items.reserve(moving.size());
+    for (const std::size_t i : moving) {
+        items.push_back(m_instances[i].shape);
+    }
+    std::size_t failed = 0;
+    const auto packed = packItems(nodes(fleet), items, RepairPackBudget, failed);
+    for (std::size_t i = 0; i < moving.size(); ++i) {
+        if (packed) {
+            place(fleet, m_instances[moving[i]], (*packed)[i]);
+        } else if (!before[i].empty()) {
+            place(fleet, m_instances[moving[i]], before[i]);
+        }
+    }
+    return packed.has_value();
+}
+
+std::vector<std::pair<OrganisationIndex, WorkerIndex>> GuaranteeBook::deficits() const
+{
+    std::vector<std::pair<OrganisationIndex, WorkerIndex>> result;
+    for (OrganisationIndex organisation = 0; organisation < m_pins.size(); ++organisation) {
+        for (const auto &[worker, pin] : m_pins[organisation]) {
+            if (pin.claimed > pin.pinned) {
+                result.emplace_back(organisation, worker);
+            }
+        }
+    }
+    return result;
+}
+
+GuaranteeBook::Repair GuaranteeBook::repair(Fleet &fleet)
+{
+    bool complete = true;
+    for (Instance &instance : m_instances) {
+        const bool broken = std::any_of(instance.pins.begin(), instance.pins.end(), [&fleet](const Pin &pin) {
+            const FleetWorker &worker = fleet.worker(pin.worker);
+            return !fleet.usable(pin.worker) || worker.pinned > worker.spec.capacity.accelerators.count();
+        });
+        if (broken) {
+            lift(fleet, instance);
+        }
+    }
+    std::vector<Instance *> missing;
+    for (Instance &instance : m_instances) {
+        if (!instance.placed) {
+            missing.push_back(&instance);
+        }
+    }
+    std::stable_sort(missing.begin(), missing.end(), [](const Instance *left, const Instance *right) {
+        return std::tie(left->shape.closeness, left->shape.accelerators)
+            > std::tie(right->shape.closeness, right->shape.accelerators);
+    });
+    for (Instance *instance : missing) {
+        complete = placeDirectly(fleet, *instance) && complete;
+    }
+    if (!complete) {
+        repack(fleet);
+    }
+    return {deficits()};
+}
+
+void GuaranteeBook::claim(Fleet &fleet, OrganisationIndex organisation, const Job &job, std::int64_t sign)
+{
+    ensure(organisation);
+    for (const GangPart &part : job.parts) {
+        const std::int64_t amount = part.tasks * job.size.accelerators.count() * sign;
+        OrganisationPin &pin = m_pins[organisation][part.worker];
+        pin.claimed += amount;
+        m_unclaimed[organisation] -= amount;
+        fleet.worker(part.worker).claimed += amount;
+        if (pin.pinned == 0 && pin.claimed == 0) {
+            m_pins[organisation].erase(part.worker);
+        }
+    }
+}
+
+bool GuaranteeBook::cover(Fleet &fleet, OrganisationIndex organisation, const GangParts &parts, std::int64_t perTask)
+{
+    if (m_pins.size() <= organisation) {
+        return false;
+    }
+    Job probe;
+    probe.parts = parts;
+    probe.size.accelerators = Accelerators(perTask);
+    claim(fleet, organisation, probe, 1);
+    const auto uncovered = [this, organisation] {
+        const auto &own = m_pins[organisation];
+        return std::any_of(
+            own.begin(), own.end(), [](const auto &entry) { return entry.second.claimed > entry.second.pinned; });
+    };
+    if (!uncovered()) {
+        claim(fleet, organisation, probe, -1);
+        return true;
+    }
+    std::vector<std::vector<Pin>> before;
+    before.reserve(m_instances.size());
+    for (Instance &instance : m_instances) {
+        before.push_back(instance.pins);
+    }
+    for (Instance &instance : m_instances) {
+        if (instance.placed && movable(instance)) {
+            lift(fleet, instance);
+        }
+    }
+    for (Instance &instance : m_instances) {
+        if (!instance.placed && instance.organisation == organisation && uncovered()) {
+            placeDirectly(fleet, instance);
+        }
+    }
+    bool covered = !uncovered();
+    covered = covered && repack(fleet);
+    claim(fleet, organisation, probe, -1);
+    if (covered) {
+        return true;
+    }
+    for (Instance &instance : m_instances) {
+        if (instance.placed) {
+            lift(fleet, instance);
+        }
+    }
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        if (!before[i].empty()) {
+            place(fleet, m_instances[i], before[i]);
+        }
+    }
+    return false;
+}
+
+bool GuaranteeBook::moveToFree(Fleet &fleet,
+                               OrganisationIndex organisation,
+                               std::int64_t accelerators,
+                               Closeness closeness)
+{
+    if (m_pins.size() <= organisation) {
+        return false;
+    }
+    for (Instance &instance : m_instances) {
+        if (instance.organisation != organisation || !instance.placed || instance.shape.accelerators < accelerators
+            || instance.shape.closeness < closeness || !movable(instance)) {
+            continue;
+        }
+        std::map<std::uint32_t, std::vector<Candidate>> groups;
+        for (const PackNode &node : nodes(fleet)) {
+            const std::int64_t idle = std::min(fleet.free(node.worker).accelerators.count(), node.free);
+            if (idle > 0) {
+                const bool byWorker = instance.shape.closeness == Closeness::Worker;
+                const bool byRack = instance.shape.closeness == Closeness::Rack;
+                groups[byWorker ? node.worker : (byRack ? node.rack : 0)].push_back({node.worker, idle, 0, idle});
+            }
+        }
+        for (const auto &[group, candidates] : groups) {
+            std::int64_t idle = 0;
+            for (const Candidate &candidate : candidates) {
+                idle += candidate.open;
+            }
+            if (idle >= instance.shape.accelerators) {
+                lift(fleet, instance);
+                place(fleet, instance, takeFrom(candidates, instance.shape.accelerators));
+                return true;
+            }
+        }
+        return false;
+    }
+    return false;
+}
+
+std::int64_t GuaranteeBook::impaired(OrganisationIndex organisation, std::string &reason) const
+{
+    std::int64_t count = 0;
+    for (const Instance &instance : m_instances) {
+        if (instance.organisation != organisation || instance.placed) {
+            continue;
+        }
+        if (count++ == 0) {
+            reason = "no place for " + std::to_string(instance.shape.accelerators) + " accelerators"
+                + (instance.shape.closeness == Closeness::Worker     ? " on one worker"
+                       : instance.shape.closeness == Closeness::Rack ? " in one rack"
+                                                                     : "");
+        }
+    }
+    if (count > 0) {
+        reason += "; " + std::to_string(count) + " guaranteed instances are missing until workers return";
+    }
+    return count;
+}
+
+std::int64_t GuaranteeBook::guaranteed(OrganisationIndex organisation) const
+{
+    std::int64_t sum = 0;
+    for (const Instance &instance : m_instances) {
+        sum += instance.organisation == organisation ? instance.shape.accelerators : 0;
+    }
+    return sum;
+}
+
+} // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/JobEvents.cpp
@@ -0,0 +1,469 @@
+#include "corianderscale/Decision/Placement.h"
+
+#include <algorithm>
+
+#include "SchedulerImplementation.h"
+
+namespace coriander::decision {
+
+namespace {
+
+/** Distinct workers on which a job may fail before it is held to be at fault itself. */
+constexpr std::int64_t MaximumFailures = 3;
+/** Wait before a gang whose start was refused is tried again. */
+constexpr Duration RefusedStartDelay = std::chrono::seconds(1);
+/** Workers a job remembers to avoid. */
+constexpr std::size_t MaximumAvoided = 16;
+/** Room above an observed excess when a job is started again. */
+constexpr std::int64_t OverSizePercent = 125;
+/** Observations over the size before a task is stopped; the first one throttles it. */
+constexpr std::int64_t OverSizeToStop = 3;
+/** Use above the size that is tolerated, in percent. */
+constexpr std::int64_t ToleratedPercent = 110;
+
+template<typename Unit>
+bool exceeds(Unit used, Unit size)
+{
+    return used.count() * 100 > size.count() * ToleratedPercent;
+}
+
+template<typename Unit>
+Unit enlarged(Unit used)
+{
+    return Unit(used.count() * OverSizePercent / 100);
+}
+
+} // namespace
+
+Job &Scheduler::Implementation::createJob(const JobRequest &request)
+{
+    auto owned = std::make_unique<Job>();
+    Job &job = *owned;
+    job.request = request;
+    job.sequence = m_nextSequence++;
+    job.organisation = m_shares.organisation(request.organisation);
+    job.caller = m_shares.caller(job.organisation, request.caller);
+    job.queuedAt = m_now;
+    m_jobs[request.id] = std::move(owned);
+    return job;
+}
+
+bool Scheduler::Implementation::neverRuns(const Job &job, std::string &code, std::string &reason) const
+{
+    const JobRequest &request = job.request;
+    if (request.tasks <= 0) {
+        code = "can-never-run";
+        reason = "the job has no tasks; submit at least one";
+        return true;
+    }
+    const std::int64_t quota = m_shares.at(job.organisation).policy.quota.count();
+    if (quota > 0 && gangAccelerators(job) > quota) {
+        code = "over-quota";
+        reason = "the job needs " + std::to_string(gangAccelerators(job))
+            + " accelerators and the organisation's quota is " + std::to_string(quota);
+        return true;
+    }
+    if (!m_anyWorkerKnown) {
+        return false;
+    }
+    std::vector<const FleetWorker *> workers;
+    for (const FleetWorker &worker : m_fleet.workers()) {
+        if (worker.state != WorkerState::Vacant) {
+            workers.push_back(&worker);
+        }
+    }
+    const PlacementRequest wanted = requestFor(job, sizeOf(job));
+    if (workers.empty() || fitsEmpty(workers, wanted)) {
+        return false;
+    }
+    code = "can-never-run";
+    const std::string where = request.closeness == Closeness::Worker ? "one worker"
+        : request.closeness == Closeness::Rack                       ? "one rack"
+                                                                     : "the data centre";
+    reason = std::to_string(request.tasks) + " tasks of this size do not fit into " + where
+        + " even when it is empty; ask for fewer or smaller tasks, or less closeness";
+    return true;
+}
+
+void Scheduler::Implementation::on(const JobSubmitted &event)
+{
+    if (m_jobs.contains(event.job.id)) {
+        return;
+    }
+    Job &job = createJob(event.job);
+    std::string code;
+    std::string reason;
+    if (neverRuns(job, code, reason)) {
+        refuse(job, code, reason);
+        return;
+    }
+    if (job.request.deadline <= m_now) {
+        refuse(job, "too-late", "the deadline had passed when the job arrived");
+        return;
+    }
+    enqueue(job);
+    if (job.request.deadline != NeverDue) {
+        m_deadlines.emplace(m_now, job.sequence, job.request.id);
+        watchDeadlines();
+    }
+    m_fresh = &job;
+    shedExcess(job);
+}
+
+void Scheduler::Implementation::shedExcess(const Job &newest)
+{
+    Job *victim = nullptr;
+    std::string reason;
+    if (m_queue.sizeOf(newest.caller) > MaximumWaitingPerCaller) {
+        victim = m_queue.newestLeastUrgent(newest.caller);
+        reason = "the caller has " + std::to_string(MaximumWaitingPerCaller) + " waiting jobs; submit again later";
+    } else if (m_queue.size() > MaximumWaiting) {
+        victim = m_queue.newestLeastUrgent(std::nullopt);
+        reason = "the data centre has " + std::to_string(MaximumWaiting) + " waiting jobs; submit again later";
+    }
+    if (victim != nullptr) {
+        refuse(*victim, "overloaded", reason);
+    }
+}
+
+void Scheduler::Implementation::on(const JobAdopted &event)
+{
+    if (m_jobs.contains(event.job.id)) {
+        return;
+    }
+    Job &job = createJob(event.job);
+    job.attempt = event.attempt;
+    job.state = JobState::Running;
+    job.everStarted = true;
+    job.startedAt = std::min(event.startedAt, m_now);
+    job.checkpointedAt = job.startedAt;
+    job.size = sizeOf(job);
+    bool lostMember = false;
+    for (const WorkerId &id : event.placement) {
+        std::optional<WorkerIndex> worker = m_fleet.find(id);
+        if (!worker) {
+            // The worker may still report; until then it counts as lost and holds only what runs there.
+            worker = m_fleet.join({id, RackId(), 0, {}});
+            m_fleet.setState(*worker, WorkerState::Lost, m_now);
+        }
+        lostMember = lostMember || m_fleet.worker(*worker).state == WorkerState::Lost;
+        const auto part = std::find_if(
+            job.parts.begin(), job.parts.end(), [&](const GangPart &known) { return known.worker == *worker; });
+        if (part != job.parts.end()) {
+            ++part->tasks;
+        } else {
+            job.parts.push_back({*worker, 1});
+        }
+    }
+    m_reservation.workers.resize(m_fleet.workers().size(), 0);
+    m_fleet.occupy(job);
+    m_shares.charge(job, m_fleet.usableCapacity(), 1, m_now);
+    m_active.emplace(job.sequence, &job);
+    if (event.guaranteed && m_policy.honoursGuarantees
+        && m_guarantees.cover(m_fleet, job.organisation, job.parts, job.size.accelerators.count())) {
+        job.guaranteed = true;
+        m_guarantees.claim(m_fleet, job.organisation, job, 1);
+    }
+    if (lostMember) {
+        stop(job, StopReason::MemberLost, CheckpointBound);
+    }
+}
+
+void Scheduler::Implementation::on(const JobCancelled &event)
+{
+    const auto found = m_jobs.find(event.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    job.cancelRequested = true;
+    if (job.state != JobState::Waiting) {
+        stop(job, StopReason::Cancelled, UrgentGrace);
+        if (job.state != JobState::Waiting) {
+            return;
+        }
+    }
+    m_decisions.emplace_back(CancelJob{job.request.id});
+    erase(job);
+}
+
+Job *Scheduler::Implementation::findAttempt(const JobId &id, std::int64_t attempt)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->attempt != attempt || !m_active.contains(found->second->sequence)
+        || found->second->state == JobState::Assigned) {
+        return nullptr;
+    }
+    return found->second.get();
+}
+
+void Scheduler::Implementation::on(const GangStarted &event)
+{
+    Job *job = findAttempt(event.job, event.attempt);
+    if (job == nullptr || job->state != JobState::Starting) {
+        return;
+    }
+    job->state = JobState::Running;
+    job->startedAt = m_now;
+    job->checkpointedAt = m_now;
+}
+
+void Scheduler::Implementation::on(const GangStartFailed &event)
+{
+    Job *job = findAttempt(event.job, event.attempt);
+    if (job == nullptr || job->state == JobState::Running) {
+        return;
+    }
+    std::vector<WorkerIndex> refusedBy;
+    for (const WorkerId &id : event.refusedBy) {
+        const std::optional<WorkerIndex> worker = m_fleet.find(id);
+        if (worker && m_fleet.usable(*worker)) {
+            m_quarantine.recordRefusal(*job, *worker, m_now);
+            refusedBy.push_back(*worker);
+        }
+    }
+    if (job->probe && !job->parts.empty()) {
+        m_quarantine.recordProbe(job->parts.front().worker, false, m_now);
+    }
+    release(*job);
+    if (job->cancelRequested) {
+        m_decisions.emplace_back(CancelJob{job->request.id});
+        erase(*job);
+    } else {
+        requeue(*job, RefusedStartDelay);
+    }
+    for (const WorkerIndex worker : refusedBy) {
+        considerQuarantine(worker);
+    }
+}
+
+void Scheduler::Implementation::on(const GangStopped &event)
+{
+    Job *job = findAttempt(event.job, event.attempt);
+    if (job == nullptr) {
+        return;
+    }
+    if (event.checkpointed && job->startedAt != MonotonicTime{}) {
+        job->attained += m_now - job->checkpointedAt;
+        job->hasCheckpoint = true;
+    }
+    if (job->probe && !job->parts.empty()) {
+        m_quarantine.recordProbe(job->parts.front().worker, false, m_now);
+    }
+    release(*job);
+    if (job->cancelRequested) {
+        m_decisions.emplace_back(CancelJob{job->request.id});
+        erase(*job);
+        return;
+    }
+    std::string code;
+    std::string reason;
+    if (neverRuns(*job, code, reason)) {
+        m_decisions.emplace_back(FailJob{job->request.id, "stopped, and cannot run again: " + reason});
+        erase(*job);
+        return;
+    }
+    requeue(*job, Duration::zero());
+}
+
+void Scheduler::Implementation::on(const GangCheckpointed &event)
+{
+    Job *job = findAttempt(event.job, event.attempt);
+    if (job == nullptr || job->state == JobState::Starting) {
+        return;
+    }
+    job->attained += m_now - job->checkpointedAt;
+    job->checkpointedAt = m_now;
+    job->hasCheckpoint = true;
+}
+
+void Scheduler::Implementation::on(const GangEnded &event)
+{
+    Job *job = findAttempt(event.job, event.attempt);
+    if (job == nullptr) {
+        return;
+    }
+    if (!event.succeeded) {
+        gangFailed(*job, event.failedOn);
+        return;
+    }
+    m_learning.recordRun(job->request, job->attained + (m_now - job->checkpointedAt));
+    m_quarantine.recordSuccess(*job, job->parts);
+    if (job->probe && !job->parts.empty() && m_quarantine.contains(job->parts.front().worker)) {
+        const WorkerIndex worker = job->parts.front().worker;
+        if (m_quarantine.recordProbe(worker, true, m_now)) {
+            m_quarantine.forget(worker);
+            m_fleet.setQuarantined(worker, false);
+            m_decisions.emplace_back(ReleaseWorker{m_fleet.worker(worker).spec.id});
+            m_fleetChanged = true;
+        }
+    }
+    release(*job);
+    m_decisions.emplace_back(FinishJob{job->request.id});
+    erase(*job);
+}
+
+void Scheduler::Implementation::gangFailed(Job &job, const WorkerId &failedOn)
+{
+    const std::optional<WorkerIndex> worker = m_fleet.find(failedOn);
+    if (worker) {
+        m_quarantine.recordFailure(job, *worker, m_now);
+        if (m_quarantine.contains(*worker)) {
+            m_quarantine.recordProbe(*worker, false, m_now);
+        } else if (std::find(job.avoid.begin(), job.avoid.end(), *worker) == job.avoid.end()) {
+            job.avoid.push_back(*worker);
+            if (job.avoid.size() > MaximumAvoided) {
+                job.avoid.erase(job.avoid.begin());
+            }
+        }
+    }
+    ++job.failures;
+    release(job);
+    if (job.cancelRequested) {
+        m_decisions.emplace_back(CancelJob{job.request.id});
+        erase(job);
+        return;
+    }
+    if (worker) {
+        considerQuarantine(*worker);
+    }
+    // Failures on workers that turned out to be bad are not the job's.
+    const auto blamed = std::count_if(
+        job.avoid.begin(), job.avoid.end(), [this](WorkerIndex avoided) { return !m_quarantine.contains(avoided); });
+    constexpr std::int64_t FailuresInAll = 3 * MaximumFailures;
+    if (blamed >= MaximumFailures || job.failures >= FailuresInAll) {
+        m_decisions.emplace_back(FailJob{job.request.id,
+                                         "failed " + std::to_string(job.failures) + " times, on "
+                                             + std::to_string(blamed) + " workers that run other jobs well"});
+        erase(job);
+        return;
+    }
+    std::string code;
+    std::string reason;
+    if (neverRuns(job, code, reason)) {
+        m_decisions.emplace_back(FailJob{job.request.id, "failed, and cannot run again: " + reason});
+        erase(job);
+        return;
+    }
+    requeue(job, RefusedStartDelay);
+}
+
+void Scheduler::Implementation::on(const UsageObserved &event)
+{
+    const auto found = m_jobs.find(event.job);
+    if (found == m_jobs.end() || found->second->state != JobState::Running) {
+        return;
+    }
+    Job &job = *found->second;
+    m_learning.recordUse(job.request, event.used);
+    if (!exceeds(event.used.cores, job.size.cores) && !exceeds(event.used.memory, job.size.memory)) {
+        return;
+    }
+    ++job.overSizeSeen;
+    const bool memory = exceeds(event.used.memory, job.size.memory);
+    if (!memory || job.overSizeSeen == 1) {
+        if (job.overSizeSeen == 1) {
+            m_decisions.emplace_back(ThrottleTask{job.request.id, event.worker, job.size.cores});
+        }
+        return;
+    }
+    if (job.overSizeSeen >= OverSizeToStop) {
+        m_learning.recordOverSize(job.request, {job.size.cores, enlarged(event.used.memory), {}});
+        stop(job, StopReason::OverSize, CheckpointBound);
+    }
+}
+
+void Scheduler::Implementation::on(const Tick &) { }
+
+void Scheduler::Implementation::enqueue(Job &job)
+{
+    job.state = JobState::Waiting;
+    job.queuedAt = m_now;
+    job.rank = m_policy.rank(job, remainingRun(job));
+    m_queue.add(job);
+    if (job.request.useGuarantee && m_policy.honoursGuarantees && job.request.perTask.accelerators.count() > 0) {
+        m_claimants[job.organisation].emplace(job.request.jobClass, job.rank, job.sequence, &job);
+    }
+}
+
+void Scheduler::Implementation::dequeue(Job &job)
+{
+    m_queue.remove(job);
+    const auto claimants = m_claimants.find(job.organisation);
+    if (claimants != m_claimants.end()) {
+        claimants->second.erase({job.request.jobClass, job.rank, job.sequence, &job});
+        if (claimants->second.empty()) {
+            m_claimants.erase(claimants);
+        }
+    }
+    if (m_reservation.holder == &job) {
+        m_reservation.holder = nullptr;
+        m_capacityFreed = true;
+    }
+}
+
+void Scheduler::Implementation::release(Job &job)
+{
+    if (job.guaranteed) {
+        m_guarantees.claim(m_fleet, job.organisation, job, -1);
+        job.guaranteed = false;
+    }
+    m_shares.charge(job, m_fleet.usableCapacity(), -1, m_now);
+    m_fleet.vacate(job);
+    m_active.erase(job.sequence);
+    m_assigned.erase(job.sequence);
+    job.probe = false;
+    job.overSizeSeen = 0;
+    job.startedAt = {};
+    m_capacityFreed = true;
+}
+
+void Scheduler::Implementation::requeue(Job &job, Duration delay)
+{
+    job.notBefore = m_now + delay;
+    if (delay > Duration::zero()) {
+        m_nextRetry = std::min(m_nextRetry, job.notBefore);
+    }
+    enqueue(job);
+}
+
+void Scheduler::Implementation::refuse(Job &job, std::string code, std::string reason)
+{
+    if (job.everStarted) {
+        m_decisions.emplace_back(FailJob{job.request.id, code + ": " + reason});
+    } else {
+        m_decisions.emplace_back(RefuseJob{job.request.id, std::move(code), std::move(reason)});
+    }
+    erase(job);
+}
+
+void Scheduler::Implementation::erase(Job &job)
+{
+    if (job.state == JobState::Waiting && m_queue.contains(job)) {
+        dequeue(job);
+    }
+    if (m_fresh == &job) {
+        m_fresh = nullptr;
+    }
+    const JobId id = job.request.id;
+    m_jobs.erase(id);
+}
+
+void Scheduler::Implementation::stop(Job &job, StopReason reason, Duration grace)
+{
+    if (job.state == JobState::Waiting || job.state == JobState::Stopping) {
+        return;
+    }
+    if (job.state == JobState::Assigned) {
+        release(job);
+        requeue(job, Duration::zero());
+        return;
+    }
+    job.preemptions += reason == StopReason::Preempted ? 1 : 0;
+    job.stopReason = reason;
+    job.state = JobState::Stopping;
+    const bool checkpoint = job.request.canCheckpoint && reason != StopReason::Cancelled;
+    m_decisions.emplace_back(StopGang{job.request.id, job.attempt, reason, checkpoint, m_now + grace});
+}
+
+} // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/SchedulerImplementation.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "corianderscale/Decision/FairShare.h"
+#include "corianderscale/Decision/GuaranteeBook.h"
+#include "corianderscale/Decision/JobQueue.h"
+#include "corianderscale/Decision/Learning.h"
+#include "corianderscale/Decision/Quarantine.h"
+#include "corianderscale/Decision/Scheduler.h"
+#include "corianderscale/Decision/Victims.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace coriander::decision {
+
+/** A stop order gives at most this grace for a checkpoint (section 11). */
+inline constexpr Duration CheckpointBound = std::chrono::seconds(30);
+/** Grace of lent work that urgent work stops, so that it starts within 1.1 s (section 9). */
+inline constexpr Duration UrgentGrace = std::chrono::milliseconds(500);
+/** Period of the work that needs no event. */
+inline constexpr Duration UpkeepPeriod = std::chrono::seconds(5);
+
+/** The first waiting job that does not fit, and the workers kept for it. */
+struct Reservation {
+    const Job *holder = nullptr;
+    /** Non-zero for workers that are kept; by worker index. */
+    std::vector<char> workers;
+    /** When the workers are expected to be free. */
+    MonotonicTime at = NeverDue;
+    MonotonicTime computedAt{};
+};
+
+/** State of one data centre and the steps that an event causes. See Scheduler. */
+class Scheduler::Implementation
+{
+public:
+    explicit Implementation(Policy policy);
+
+    std::vector<Decision> handle(const Event &event, MonotonicTime now);
+    std::optional<Explanation> explain(const JobId &id, MonotonicTime now) const;
+    std::vector<PlacementView> placements() const;
+    MonotonicTime nextTick() const;
+
+private:
+    /** @name Events of workers and organisations (FleetEvents.cpp) */
+    ///@{
+    void on(const WorkerJoined &event);
+    void on(const WorkerLost &event);
+    void on(const WorkerDraining &event);
+    void on(const OrganisationsChanged &event);
+    void fleetChanged();
+    void lendJobsOn(OrganisationIndex organisation, WorkerIndex worker);
+    void lendJob(Job &job);
+    void reportImpaired();
+    void refuseImpossible();
+    void considerQuarantine(WorkerIndex worker);
+    ///@}
+
+    /** @name Events of jobs (JobEvents.cpp) */
+    ///@{
+    void on(const JobSubmitted &event);
+    void on(const JobAdopted &event);
+    void on(const JobCancelled &event);
+    void on(const GangStarted &event);
+    void on(const GangStartFailed &event);
+    void on(const GangStopped &event);
+    void on(const GangCheckpointed &event);
+    void on(const GangEnded &event);
+    void on(const UsageObserved &event);
+    void on(const Tick &event);
+    Job &createJob(const JobRequest &request);
+    bool neverRuns(const Job &job, std::string &code, std::string &reason) const;
+    void shedExcess(const Job &newest);
+    void enqueue(Job &job);
+    void dequeue(Job &job);
+    void release(Job &job);
+    void requeue(Job &job, Duration delay);
+    void refuse(Job &job, std::string code, std::string reason);
+    void erase(Job &job);
+    void stop(Job &job, StopReason reason, Duration grace);
+    void gangFailed(Job &job, const WorkerId &failedOn);
+    Job *findAttempt(const JobId &id, std::int64_t attempt);
+    ///@}
+
+    /** @name Placing (SchedulingPass.cpp, Claims.cpp) */
+    ///@{
+    void schedule();
+    void startAssigned();
+    void passClaims();
+    bool tryClaim(Job &job);
+    std::optional<VictimChoice> cheapestClaim(const Job &job, const Resources &size);
+    bool passQueue();
+    bool tryPlace(Job &job);
+    bool tryProbe(Job &job);
+    bool tryPreempt(Job &job);
+    void launch(Job &job, const Resources &size, GangParts parts, bool guaranteed, const std::vector<Job *> &victims);
+    void begin(Job &job);
+    void makeRoom(Job &claimant, const std::vector<Job *> &victims, Duration grace);
+    bool physicallyFits(const Job &job) const;
+    void reserveFor(const Job &job, const Resources &size);
+    PlacementRequest requestFor(const Job &job, const Resources &size) const;
+    double victimCost(const Job &victim, const Job &claimant, bool claim) const;
+    bool mayBorrow(const Job &job) const;
+    bool claimable(const Job &job) const;
+    ///@}
+
+    /** @name Work that needs no event (Upkeep.cpp) */
+    ///@{
+    void upkeep();
+    void watchDeadlines();
+    void requestCheckpoints();
+    void giveUpAssigned();
+    ///@}
+
+    /** @name Estimates (Upkeep.cpp) */
+    ///@{
+    Resources sizeOf(const Job &job) const;
+    Duration remainingRun(const Job &job) const;
+    MonotonicTime expectedEnd(const Job &job) const;
+    double orderOf(const Job &job) const;
+    double shareOf(const Job &job) const;
+    ///@}
+
+    Policy m_policy;
+    MonotonicTime m_now{};
+    std::vector<Decision> m_decisions;
+    Fleet m_fleet;
+    ShareTable m_shares;
+    JobQueue m_queue;
+    Learning m_learning;
+    GuaranteeBook m_guarantees;
+    Quarantine m_quarantine;
+    std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+    /** Waiting jobs that claim their organisation's guarantee, by class, rank and arrival. */
+    std::map<OrganisationIndex, std::set<std::tuple<JobClass, double, std::uint64_t, Job *>>> m_claimants;
+    /** Jobs that hold capacity, by arrival. */
+    std::map<std::uint64_t, Job *> m_active;
+    std::map<std::uint64_t, Job *> m_assigned;
+    /** When each job with a deadline has to be looked at next. */
+    std::set<std::tuple<MonotonicTime, std::uint64_t, JobId>> m_deadlines;
+    struct Impairment {
+        std::string reason;
+        MonotonicTime since{};
+    };
+    std::map<OrganisationIndex, Impairment> m_impaired;
+    Reservation m_reservation;
+    std::uint64_t m_nextSequence = 0;
+    /** Sum of weighted service of all organisations, computed once per step. */
+    double m_meanShare = 0;
+    bool m_capacityFreed = false;
+    bool m_fleetChanged = false;
+    bool m_anyWorkerKnown = false;
+    /** The job submitted or requeued by this event; tried even when nothing was freed. */
+    Job *m_fresh = nullptr;
+    MonotonicTime m_nextUpkeep{};
+    MonotonicTime m_nextRetry = NeverDue;
+};
+
+} // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/SchedulingPass.cpp
@@ -0,0 +1,318 @@
+#include "corianderscale/Decision/Placement.h"
+
+#include <algorithm>
+
+#include "SchedulerImplementation.h"
+
+namespace coriander::decision {
+
+namespace {
+
+/** Shapes that may fail to fit before a pass ends; bounds the time of one decision. */
+constexpr std::size_t MaximumFailedShapes = 12;
+/** Jobs looked at in one pass. */
+constexpr std::size_t MaximumExamined = 400;
+/** Jobs of one caller and class that may fail before the caller is skipped. */
+constexpr std::size_t MaximumFailedPerCaller = 4;
+/** Searches for victims in one pass. */
+constexpr std::size_t MaximumPreemptions = 2;
+/** How long an assigned job waits for its victims before it looks for other workers. */
+constexpr Duration AssignedPatience = CheckpointBound + std::chrono::seconds(30);
+
+struct FailedShape {
+    std::int64_t tasks = 0;
+    Resources size;
+    Closeness closeness = Closeness::None;
+    bool avoids = false;
+};
+
+/** Whether a shape that did not fit proves that @p job does not fit. */
+bool proves(const FailedShape &failed, const Job &job, const Resources &size)
+{
+    return !failed.avoids && job.request.tasks >= failed.tasks && job.request.closeness >= failed.closeness
+        && size.cores >= failed.size.cores && size.memory >= failed.size.memory
+        && size.accelerators >= failed.size.accelerators;
+}
+
+} // namespace
+
+void Scheduler::Implementation::schedule()
+{
+    if (m_now >= m_nextRetry) {
+        m_nextRetry = NeverDue;
+        m_capacityFreed = true;
+    }
+    m_meanShare = 0;
+    for (OrganisationIndex index = 0; index < m_shares.organisations().size(); ++index) {
+        m_meanShare += m_shares.weighted(index, m_now);
+    }
+    m_meanShare /= std::max<double>(1.0, static_cast<double>(m_shares.organisations().size()));
+    startAssigned();
+    if (!m_capacityFreed) {
+        if (m_fresh != nullptr && m_fresh->state == JobState::Waiting) {
+            Job &job = *m_fresh;
+            m_fresh = nullptr;
+            if (!tryClaim(job) && !tryPlace(job) && m_policy.preempts) {
+                tryPreempt(job);
+            }
+        }
+        return;
+    }
+    // A pass may give capacity up again, for example when an assigned job loses its workers to a claim.
+    constexpr int MaximumPasses = 3;
+    for (int pass = 0; pass < MaximumPasses && m_capacityFreed; ++pass) {
+        m_capacityFreed = false;
+        passClaims();
+        passQueue();
+    }
+}
+
+bool Scheduler::Implementation::physicallyFits(const Job &job) const
+{
+    return std::all_of(job.parts.begin(), job.parts.end(), [&](const GangPart &part) {
+        Resources free = m_fleet.worker(part.worker).spec.capacity;
+        for (const Job *other : m_fleet.worker(part.worker).jobs) {
+            if (other->state == JobState::Assigned) {
+                continue;
+            }
+            for (const GangPart &used : other->parts) {
+                if (used.worker == part.worker) {
+                    free = free - other->size * used.tasks;
+                }
+            }
+        }
+        return countFitting(free, job.size, part.tasks) >= part.tasks;
+    });
+}
+
+void Scheduler::Implementation::startAssigned()
+{
+    std::vector<Job *> ready;
+    for (const auto &[sequence, job] : m_assigned) {
+        ready.push_back(job);
+    }
+    // Jobs on guarantees first: they have waited for the longest grace.
+    std::stable_partition(ready.begin(), ready.end(), [](const Job *job) { return job->guaranteed; });
+    for (Job *job : ready) {
+        if (physicallyFits(*job)) {
+            m_assigned.erase(job->sequence);
+            begin(*job);
+        }
+    }
+}
+
+void Scheduler::Implementation::begin(Job &job)
+{
+    job.state = JobState::Starting;
+    job.everStarted = true;
+    ++job.attempt;
+    m_decisions.emplace_back(
+        StartGang{job.request.id, job.attempt, m_fleet.expand(job.parts), job.guaranteed, job.hasCheckpoint});
+}
+
+void Scheduler::Implementation::launch(
+    Job &job, const Resources &size, GangParts parts, bool guaranteed, const std::vector<Job *> &victims)
+{
+    dequeue(job);
+    job.size = size;
+    job.parts = std::move(parts);
+    job.guaranteed = guaranteed;
+    m_fleet.occupy(job);
+    m_shares.charge(job, m_fleet.usableCapacity(), 1, m_now);
+    m_active.emplace(job.sequence, &job);
+    if (guaranteed) {
+        m_guarantees.claim(m_fleet, job.organisation, job, 1);
+    }
+    if (victims.empty() && physicallyFits(job)) {
+        begin(job);
+        return;
+    }
+    job.state = JobState::Assigned;
+    job.assignedUntil = m_now + AssignedPatience;
+    m_assigned.emplace(job.sequence, &job);
+    makeRoom(job, victims, job.request.jobClass == JobClass::Urgent ? UrgentGrace : CheckpointBound);
+    if (physicallyFits(job)) {
+        m_assigned.erase(job.sequence);
+        begin(job);
+    }
+}
+
+void Scheduler::Implementation::makeRoom(Job &claimant, const std::vector<Job *> &victims, Duration grace)
+{
+    for (Job *victim : victims) {
+        if (victim != &claimant) {
+            stop(*victim, StopReason::Preempted, grace);
+        }
+    }
+}
+
+PlacementRequest Scheduler::Implementation::requestFor(const Job &job, const Resources &size) const
+{
+    PlacementRequest request;
+    request.tasks = job.request.tasks;
+    request.size = size;
+    request.closeness = job.request.closeness;
+    request.avoid = job.avoid;
+    std::sort(request.avoid.begin(), request.avoid.end());
+    return request;
+}
+
+bool Scheduler::Implementation::mayBorrow(const Job &job) const
+{
+    LendingInput input;
+    input.job = &job;
+    const OrganisationShare &share = m_shares.at(job.organisation);
+    input.heldByOrganisation = share.accelerators;
+    input.quota = share.policy.quota.count();
+    input.guaranteed = m_policy.honoursGuarantees ? m_guarantees.guaranteed(job.organisation) : 0;
+    for (const Guarantee &guarantee : share.policy.guarantees) {
+        input.guaranteed += m_policy.honoursGuarantees ? 0 : guarantee.accelerators.count() * guarantee.count;
+    }
+    return m_policy.mayBorrow(input);
+}
+
+bool Scheduler::Implementation::tryPlace(Job &job)
+{
+    if (job.notBefore > m_now || !mayBorrow(job)) {
+        return false;
+    }
+    if (tryProbe(job)) {
+        return true;
+    }
+    const Resources size = sizeOf(job);
+    PlacementRequest request = requestFor(job, size);
+    const bool bound = m_reservation.holder != nullptr && m_reservation.holder != &job;
+    if (bound && m_now + remainingRun(job) > m_reservation.at) {
+        request.reserved = &m_reservation.workers;
+    }
+    std::optional<GangParts> parts = m_policy.chooseWorkers(m_fleet, request);
+    if (!parts) {
+        return false;
+    }
+    launch(job, size, std::move(*parts), false, {});
+    return true;
+}
+
+bool Scheduler::Implementation::tryProbe(Job &job)
+{
+    if (m_quarantine.size() == 0 || job.request.tasks != 1 || job.request.jobClass == JobClass::Urgent
+        || job.request.deadline != NeverDue || job.failures > 0) {
+        return false;
+    }
+    const std::optional<WorkerIndex> worker = m_quarantine.dueForProbe(m_now);
+    if (!worker) {
+        return false;
+    }
+    const Resources size = sizeOf(job);
+    PlacementRequest request = requestFor(job, size);
+    request.probe = worker;
+    std::optional<GangParts> parts = m_policy.chooseWorkers(m_fleet, request);
+    if (!parts) {
+        return false;
+    }
+    m_quarantine.beginProbe(*worker);
+    job.probe = true;
+    launch(job, size, std::move(*parts), false, {});
+    return true;
+}
+
+bool Scheduler::Implementation::passQueue()
+{
+    std::vector<Job *> candidates;
+    std::vector<FailedShape> failed;
+    std::map<std::pair<JobClass, std::uint32_t>, std::size_t> failedPerCaller;
+    bool placedAny = false;
+    std::size_t preemptions = 0;
+    std::size_t examined = 0;
+    // The queue must not change while it is visited, so candidates are collected first, in order.
+    m_queue.inOrder([this](const Job &job) { return orderOf(job); },
+                    [&candidates](Job &job) {
+                        candidates.push_back(&job);
+                        return candidates.size() >= MaximumExamined ? JobQueue::Next::Stop : JobQueue::Next::Continue;
+                    });
+    for (Job *job : candidates) {
+        if (job->state != JobState::Waiting || failed.size() >= MaximumFailedShapes) {
+            continue;
+        }
+        std::size_t &callerFailures = failedPerCaller[{job->request.jobClass, job->caller}];
+        if (callerFailures >= MaximumFailedPerCaller) {
+            continue;
+        }
+        ++examined;
+        if (job->notBefore > m_now) {
+            m_nextRetry = std::min(m_nextRetry, job->notBefore);
+            continue;
+        }
+        if (!mayBorrow(*job)) {
+            continue;
+        }
+        const Resources size = sizeOf(*job);
+        const bool hopeless = std::any_of(
+            failed.begin(), failed.end(), [&](const FailedShape &shape) { return proves(shape, *job, size); });
+        if (!hopeless && tryPlace(*job)) {
+            placedAny = true;
+            continue;
+        }
+        if (m_policy.preempts && preemptions < MaximumPreemptions) {
+            ++preemptions;
+            if (tryPreempt(*job)) {
+                placedAny = true;
+                continue;
+            }
+        }
+        if (!hopeless) {
+            failed.push_back({job->request.tasks, size, job->request.closeness, !job->avoid.empty()});
+            ++callerFailures;
+        }
+        if (m_policy.reserves && m_reservation.holder == nullptr) {
+            reserveFor(*job, size);
+        }
+    }
+    return placedAny;
+}
+
+double Scheduler::Implementation::victimCost(const Job &victim, const Job &claimant, bool claim) const
+{
+    if (victim.guaranteed || &victim == &claimant) {
+        return NotAVictim;
+    }
+    if (claim && (victim.state == JobState::Stopping || victim.state == JobState::Assigned)) {
+        // Leaves anyway, or has not started: nothing is lost. A lost member may take its whole lease to stop.
+        constexpr double LostMemberCost = 1e6;
+        return victim.stopReason == StopReason::MemberLost && victim.state == JobState::Stopping ? LostMemberCost : 0.0;
+    }
+    if (victim.state != JobState::Running && !(claim && victim.state == JobState::Starting)) {
+        return NotAVictim;
+    }
+    VictimInput input;
+    input.victim = &victim;
+    input.claimant = &claimant;
+    input.claim = claim;
+    input.victimRan = victim.state == JobState::Running ? m_now - victim.startedAt : Duration::zero();
+    const Duration sinceCheckpoint = m_now - victim.checkpointedAt;
+    const bool keeps = victim.request.canCheckpoint && claimant.request.jobClass != JobClass::Urgent;
+    input.lost = keeps || victim.state != JobState::Running ? Duration::zero() : sinceCheckpoint;
+    input.victimLeft = remainingRun(victim);
+    input.claimantRun = remainingRun(claimant);
+    input.victimShare = shareOf(victim);
+    input.claimantShare = shareOf(claimant);
+    return m_policy.victimCost(input);
+}
+
+bool Scheduler::Implementation::tryPreempt(Job &job)
+{
+    if (job.notBefore > m_now || !mayBorrow(job)) {
+        return false;
+    }
+    const Resources size = sizeOf(job);
+    const PlacementRequest request = requestFor(job, size);
+    const std::optional<VictimChoice> choice = chooseVictims(
+        m_fleet, request, [&](const Job &victim) { return victimCost(victim, job, false); }, nullptr);
+    if (!choice) {
+        return false;
+    }
+    launch(job, size, choice->parts, false, choice->victims);
+    return true;
+}
+
+} // namespace coriander::decision
--- /dev/null
+++ b/lib/Decision/Victims.cpp
@@ -0,0 +1,201 @@
+#include "corianderscale/Decision/Victims.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace coriander::decision {
+
+namespace {
+
+Resources useOn(const Job &job, WorkerIndex worker)
+{
+    for (const GangPart &part : job.parts) {
+        if (part.worker == worker) {
+            return job.size * part.tasks;
+        }
+    }
+    return {};
+}
+
+struct Costed {
+    Job *job = nullptr;
+    double cost = 0;
+};
+
+/** Victims on one worker, cheapest for what they free first. */
+std::vector<Costed> victimsOn(const Fleet &fleet, WorkerIndex worker, const Resources &size, const VictimCost &cost)
+{
+    std::vector<Costed> victims;
+    const bool forAccelerators = size.accelerators.count() > 0;
+    for (Job *job : fleet.worker(worker).jobs) {
+        const double jobCost = cost(*job);
+        if (jobCost < NotAVictim) {
+            const Resources freed = useOn(*job, worker);
+            const std::int64_t amount = forAccelerators ? freed.accelerators.count() : freed.cores.count();
+            // A victim that frees none of the needed resource is stopped only when nothing else helps.
+            const double gain = amount > 0 ? static_cast<double>(amount) : 1e-3;
+            victims.push_back({job, jobCost / gain});
+        }
+    }
+    std::sort(victims.begin(), victims.end(), [](const Costed &left, const Costed &right) {
+        return std::tie(left.cost, left.job->sequence) < std::tie(right.cost, right.job->sequence);
+    });
+    return victims;
+}
+
+/** Room that one worker has after some of its victims stop. */
+struct Offer {
+    WorkerIndex worker = 0;
+    std::int64_t tasks = 0;
+    double costPerTask = 0;
+};
+
+/** The cheapest way, per task, to fit up to @p most tasks on the worker. */
+Offer bestOffer(
+    const Fleet &fleet, WorkerIndex worker, const PlacementRequest &request, std::int64_t least, const VictimCost &cost)
+{
+    Resources free = fleet.free(worker);
+    double spent = 0;
+    Offer best{worker, 0, NotAVictim};
+    const auto consider = [&] {
+        const std::int64_t tasks = countFitting(free, request.size, request.tasks);
+        if (tasks >= least && tasks > 0 && spent / static_cast<double>(tasks) < best.costPerTask) {
+            best = {worker, tasks, spent / static_cast<double>(tasks)};
+        }
+    };
+    consider();
+    if (best.tasks == request.tasks) {
+        return best;
+    }
+    for (const Costed &victim : victimsOn(fleet, worker, request.size, cost)) {
+        free = free + useOn(*victim.job, worker);
+        spent += cost(*victim.job);
+        consider();
+    }
+    return best;
+}
+
+std::optional<GangParts> cheapestGroup(const Fleet &fleet, const PlacementRequest &request, std::vector<Offer> offers)
+{
+    std::map<std::uint32_t, std::vector<Offer>> groups;
+    const bool single = request.closeness == Closeness::Worker || request.tasks == 1;
+    for (const Offer &offer : offers) {
+        const std::uint32_t rack = fleet.worker(offer.worker).rack;
+        groups[single ? offer.worker : (request.closeness == Closeness::Rack ? rack : 0)].push_back(offer);
+    }
+    std::optional<GangParts> best;
+    double bestCost = NotAVictim;
+    for (auto &[group, members] : groups) {
+        std::stable_sort(members.begin(), members.end(), [](const Offer &left, const Offer &right) {
+            return left.costPerTask < right.costPerTask;
+        });
+        GangParts parts;
+        std::int64_t missing = request.tasks;
+        double cost = 0;
+        for (const Offer &offer : members) {
+            const std::int64_t tasks = std::min(missing, offer.tasks);
+            if (tasks == 0) {
+                break;
+            }
+            parts.push_back({offer.worker, tasks});
+            cost += offer.costPerTask * static_cast<double>(tasks);
+            missing -= tasks;
+        }
+        if (missing == 0 && cost < bestCost) {
+            bestCost = cost;
+            best = std::move(parts);
+        }
+    }
+    return best;
+}
+
+bool fitsAfter(const Fleet &fleet, const GangParts &parts, const Resources &size, const std::vector<Job *> &victims)
+{
+    return std::all_of(parts.begin(), parts.end(), [&](const GangPart &part) {
+        Resources free = fleet.free(part.worker);
+        for (const Job *victim : victims) {
+            free = free + useOn(*victim, part.worker);
+        }
+        return countFitting(free, size, part.tasks) >= part.tasks;
+    });
+}
+
+} // namespace
+
+std::optional<VictimChoice> victimsFor(const Fleet &fleet,
+                                       const GangParts &parts,
+                                       const Resources &size,
+                                       const VictimCost &cost)
+{
+    VictimChoice choice;
+    choice.parts = parts;
+    std::set<const Job *> taken;
+    for (const GangPart &part : parts) {
+        Resources free = fleet.free(part.worker);
+        for (const Job *victim : choice.victims) {
+            free = free + useOn(*victim, part.worker);
+        }
+        for (const Costed &victim : victimsOn(fleet, part.worker, size, cost)) {
+            if (countFitting(free, size, part.tasks) >= part.tasks) {
+                break;
+            }
+            if (taken.insert(victim.job).second) {
+                choice.victims.push_back(victim.job);
+                free = free + useOn(*victim.job, part.worker);
+            }
+        }
+        if (countFitting(free, size, part.tasks) < part.tasks) {
+            return std::nullopt;
+        }
+    }
+    // A victim taken early may have become unnecessary; the dearest are spared first.
+    std::vector<Job *> byCost = choice.victims;
+    std::stable_sort(byCost.begin(), byCost.end(), [&cost](const Job *left, const Job *right) {
+        return cost(*left) > cost(*right);
+    });
+    for (Job *victim : byCost) {
+        std::vector<Job *> without = choice.victims;
+        without.erase(std::find(without.begin(), without.end(), victim));
+        if (fitsAfter(fleet, parts, size, without)) {
+            choice.victims = std::move(without);
+        }
+    }
+    for (const Job *victim : choice.victims) {
+        choice.cost += cost(*victim);
+    }
+    return choice;
+}
+
+std::optional<VictimChoice> chooseVictims(const Fleet &fleet,
+                                          const PlacementRequest &request,
+                                          const VictimCost &cost,
+                                          const std::vector<char> *candidates)
+{
+    std::unordered_map<const Job *, double> known;
+    const VictimCost remembered = [&known, &cost](const Job &job) {
+        const auto [entry, added] = known.try_emplace(&job, 0.0);
+        if (added) {
+            entry->second = cost(job);
+        }
+        return entry->second;
+    };
+    const bool single = request.closeness == Closeness::Worker || request.tasks == 1;
+    std::vector<Offer> offers;
+    for (WorkerIndex worker = 0; worker < fleet.workers().size(); ++worker) {
+        if (!fleet.usable(worker) || (candidates != nullptr && (*candidates)[worker] == 0)
+            || std::binary_search(request.avoid.begin(), request.avoid.end(), worker)
+            || countFitting(fleet.worker(worker).spec.capacity, request.size, 1) == 0) {
+            continue;
+        }
+        const Offer offer = bestOffer(fleet, worker, request, single ? request.tasks : 1, remembered);
+        if (offer.tasks > 0) {
+            offers.push_back(offer);
+        }
+    }
+    const std::optional<GangParts> parts = cheapestGroup(fleet, request, std::move(offers));
+    return parts ? victimsFor(fleet, *parts, request.size, remembered) : std::nullopt;
+}
+
+} // namespace coriander::decision
