--- a/include/corianderscale/Decision/Job.h
+++ b/include/corianderscale/Decision/Job.h
@@ -47,6 +47,7 @@
     bool probe = false;
     MonotonicTime startedAt{};
     MonotonicTime checkpointedAt{};
+    MonotonicTime checkpointAskedAt{};
     /** Run time kept by checkpoints of earlier attempts. */
     Duration attained{};
     StopReason stopReason = StopReason::Preempted;
