coordination: add the store client over the platform protocol

Cause: the daemons need the platform's table, objects and VM list under budgets, outages and lost answers. HttpClient keeps %2F in a path, because object keys hold slashes and are one part of the path.

--- a/include/corianderscale/Transport/Http.h
+++ b/include/corianderscale/Transport/Http.h
@@ -19,7 +19,7 @@
 struct HttpRequest {
     /** `GET`, `POST`, `PUT` or `DELETE`. */
     std::string method = "GET";
-    /** Decoded path without query. */
+    /** Decoded path without query. On the client's side `%2F` stands for a slash inside one part of the path. */
     std::string path = "/";
     std::map<std::string, std::string> query;
     HttpHeaders headers;
--- /dev/null
+++ b/lib/Coordination/CircuitBreaker.cpp
@@ -0,0 +1,51 @@
+#include "corianderscale/Coordination/CircuitBreaker.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+CircuitBreaker::CircuitBreaker(Settings settings)
+    : m_settings(settings)
+{
+}
+
+bool CircuitBreaker::allow(MonotonicTime now)
+{
+    if (!m_open) {
+        return true;
+    }
+    if (now < m_probeAt) {
+        return false;
+    }
+    m_probeAt = now + m_pause;
+    return true;
+}
+
+void CircuitBreaker::succeeded()
+{
+    m_failures = 0;
+    m_open = false;
+}
+
+void CircuitBreaker::failed(MonotonicTime now)
+{
+    ++m_failures;
+    if (m_failures < m_settings.failuresToOpen) {
+        return;
+    }
+    m_pause = m_open ? std::min(m_pause * 2, m_settings.mostPause) : m_settings.firstPause;
+    m_open = true;
+    m_probeAt = now + m_pause;
+}
+
+bool CircuitBreaker::isOpen() const
+{
+    return m_open;
+}
+
+MonotonicTime CircuitBreaker::probeAt() const
+{
+    return m_probeAt;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Coordination/StoreCaller.cpp
@@ -0,0 +1,217 @@
+#include "corianderscale/Coordination/StoreCaller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+/** A bucket keeps the tokens of half a second, so that a burst after a pause does not overload the platform. */
+constexpr double BurstSeconds = 0.5;
+
+/** A try that had less time than this says nothing about the store when it was cut off by its deadline. */
+constexpr Duration LeastJudgedTry = std::chrono::milliseconds(100);
+
+constexpr int TooManyRequests = 429;
+constexpr int FirstServerError = 500;
+constexpr int ServiceUnavailable = 503;
+
+double burstOf(double perSecond)
+{
+    return std::max(1.0, perSecond * BurstSeconds);
+}
+
+bool isRefusal(int status)
+{
+    return status == ServiceUnavailable || status == TooManyRequests;
+}
+
+/** The pause that a refusal asks for; zero without the header. */
+Duration retryAfter(const HttpResponse &response)
+{
+    const double seconds = std::strtod(response.header("Retry-After").c_str(), nullptr);
+    constexpr double MaximumSeconds = 60;
+    return Duration(static_cast<std::int64_t>(std::clamp(seconds, 0.0, MaximumSeconds) * 1e6));
+}
+
+} // namespace
+
+StoreCaller::StoreCaller(Settings settings, RandomUnit random, Launch launch, MonotonicTime now)
+    : m_settings(settings)
+    , m_random(std::move(random))
+    , m_launch(std::move(launch))
+    , m_writes(settings.siteWritesPerSecond, burstOf(settings.siteWritesPerSecond), now)
+    , m_reads(settings.siteReadsPerSecond, burstOf(settings.siteReadsPerSecond), now)
+    , m_breaker(settings.breaker)
+    , m_health(settings.health)
+{
+}
+
+void StoreCaller::setLiveInstances(int instances, MonotonicTime now)
+{
+    const double share = 1.0 / std::max(1, instances);
+    const double writes = m_settings.siteWritesPerSecond * share;
+    const double reads = m_settings.siteReadsPerSecond * share;
+    m_writes.setRate(now, writes, burstOf(writes));
+    m_reads.setRate(now, reads, burstOf(reads));
+}
+
+void StoreCaller::add(std::shared_ptr<StoreCall> call, MonotonicTime now, Effects &effects)
+{
+    if (m_stopped) {
+        fail(call, CoordinationCode::StoreAway, "the store client has been stopped", effects);
+        return;
+    }
+    if (m_waiting.size() >= m_settings.maximumWaiting) {
+        fail(call, CoordinationCode::OverBudget, "too many store calls are waiting; try later", effects);
+        return;
+    }
+    attempt(call, now, effects);
+}
+
+void StoreCaller::poll(MonotonicTime now, Effects &effects)
+{
+    // Calls that attempt() puts back are due later, or are handled at the next poll.
+    std::vector<std::shared_ptr<StoreCall>> due;
+    while (!m_waiting.empty() && m_waiting.begin()->first <= now) {
+        due.push_back(std::move(m_waiting.begin()->second));
+        m_waiting.erase(m_waiting.begin());
+    }
+    for (const auto &call : due) {
+        attempt(call, now, effects);
+    }
+}
+
+void StoreCaller::attempt(const std::shared_ptr<StoreCall> &call, MonotonicTime now, Effects &effects)
+{
+    if (now >= call->deadline) {
+        fail(call, CoordinationCode::StoreAway, "the store did not carry the call out before its deadline", effects);
+        return;
+    }
+    if (!mayTry(call, now, effects)) {
+        return;
+    }
+    ++call->tries;
+    call->charged = false;
+    const MonotonicTime tryDeadline = std::min(call->deadline, now + m_settings.tryTime);
+    effects.emplace_back([this, call, tryDeadline] { m_launch(call, tryDeadline); });
+}
+
+bool StoreCaller::mayTry(const std::shared_ptr<StoreCall> &call, MonotonicTime now, Effects &effects)
+{
+    TokenBucket *bucket = bucketOf(call->budget);
+    if (bucket != nullptr && !call->charged) {
+        const MonotonicTime ready = bucket->reserve(now);
+        if (ready >= call->deadline) {
+            bucket->giveBack();
+            fail(call, CoordinationCode::OverBudget, "this instance's share of the store's rate is used up", effects);
+            return false;
+        }
+        call->charged = true;
+        if (ready > now) {
+            m_waiting.emplace(ready, call);
+            return false;
+        }
+    }
+    if (m_breaker.allow(now)) {
+        return true;
+    }
+    // Only a repeated write waits for the store's return: its outcome has to be found out.
+    if (call->uncertain && m_breaker.probeAt() < call->deadline) {
+        m_waiting.emplace(m_breaker.probeAt(), call);
+        return false;
+    }
+    fail(call, CoordinationCode::StoreAway, "the store has not answered lately; calls are paused", effects);
+    return false;
+}
+
+void StoreCaller::finishTry(const std::shared_ptr<StoreCall> &call,
+                            MonotonicTime sentAt,
+                            const std::optional<HttpResponse> &response,
+                            const TransportError &error,
+                            MonotonicTime now,
+                            Effects &effects)
+{
+    judge(now - sentAt, response, error, now);
+    if (response && response->status < FirstServerError && !isRefusal(response->status)) {
+        effects.emplace_back([call, response] { call->done(response, {}); });
+        return;
+    }
+    if (!response) {
+        call->uncertain = call->uncertain || error.code != TransportCode::Unreachable;
+    } else if (!isRefusal(response->status)) {
+        call->uncertain = true;
+    }
+    retry(call, response ? retryAfter(*response) : Duration(0), now, effects);
+}
+
+void StoreCaller::judge(Duration took,
+                        const std::optional<HttpResponse> &response,
+                        const TransportError &error,
+                        MonotonicTime now)
+{
+    if (!response && error.code == TransportCode::Timeout && took < LeastJudgedTry) {
+        return;
+    }
+    const bool carriedOut = response && response->status < FirstServerError && !isRefusal(response->status);
+    m_health.record(took, carriedOut);
+    if (carriedOut) {
+        m_breaker.succeeded();
+    } else {
+        m_breaker.failed(now);
+    }
+}
+
+void StoreCaller::retry(const std::shared_ptr<StoreCall> &call, Duration least, MonotonicTime now, Effects &effects)
+{
+    const Duration delay = std::max(least, backoffDelay(m_settings.backoff, call->tries, m_random));
+    if (m_stopped || now + delay >= call->deadline) {
+        fail(call, CoordinationCode::StoreAway, fmt::format("the store failed {} tries", call->tries), effects);
+        return;
+    }
+    m_waiting.emplace(now + delay, call);
+}
+
+void StoreCaller::stop(Effects &effects)
+{
+    m_stopped = true;
+    for (const auto &[due, call] : m_waiting) {
+        fail(call, CoordinationCode::StoreAway, "the store client has been stopped", effects);
+    }
+    m_waiting.clear();
+}
+
+MonotonicTime StoreCaller::nextDue() const
+{
+    return m_waiting.empty() ? NeverDue : m_waiting.begin()->first;
+}
+
+StoreState StoreCaller::state() const
+{
+    return m_breaker.isOpen() ? StoreState::Away : m_health.state();
+}
+
+void StoreCaller::fail(const std::shared_ptr<StoreCall> &call,
+                       CoordinationCode code,
+                       const std::string &reason,
+                       Effects &effects)
+{
+    const bool unknown = call->uncertain && call->budget == StoreBudget::Write;
+    const CoordinationError error{unknown ? CoordinationCode::OutcomeUnknown : code,
+                                  unknown ? reason + "; an earlier try may have taken effect" : reason};
+    effects.emplace_back([call, error] { call->done(std::nullopt, error); });
+}
+
+TokenBucket *StoreCaller::bucketOf(StoreBudget budget)
+{
+    if (budget == StoreBudget::None) {
+        return nullptr;
+    }
+    return budget == StoreBudget::Write ? &m_writes : &m_reads;
+}
+
+} // namespace coriander
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -23,11 +23,22 @@
 /** How long the deadline thread sleeps when nothing is pending. */
 constexpr Duration IdleWait = std::chrono::milliseconds(200);
 
+/** Encodes a path and keeps `%2F`, by which callers put a slash inside one part of the path. */
+std::string encodePath(const std::string &path)
+{
+    const std::string kept = "%252F";
+    std::string encoded = web::uri::encode_uri(path, web::uri::components::path);
+    for (std::size_t at = encoded.find(kept); at != std::string::npos; at = encoded.find(kept, at)) {
+        encoded.replace(at, kept.size(), "%2F");
+    }
+    return encoded;
+}
+
 web::http::http_request convertRequest(const HttpRequest &request)
 {
     web::http::http_request message(request.method);
     web::uri_builder uri;
-    uri.set_path(request.path, true);
+    uri.set_path(encodePath(request.path), false);
     for (const auto &[key, value] : request.query) {
         uri.append_query(web::uri::encode_data_string(key) + "=" + web::uri::encode_data_string(value), false);
     }
