gateway: add routing, claims, counters and the endpoint stand-in

Cause: the gateway needs its logic in classes without threads, sockets or clocks. Change: queue, directory, router, attempts, claimed and idempotent runs, counters, jobs; the endpoint stand-in.

--- /dev/null
+++ b/include/corianderscale/Gateway/IdempotentRun.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "corianderscale/Gateway/AttemptSender.h"
+#include "corianderscale/Gateway/RetryGate.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace coriander {
+
+/** How a run of an idempotent request ends. */
+struct IdempotentResult {
+    /** Whether @c status and @c body hold the endpoint's answer; otherwise @c error tells. */
+    bool answered = false;
+    int status = 0;
+    std::string body;
+    AttemptId attempt;
+    ErrorBody error;
+};
+
+/** What runs of idempotent requests share. */
+struct IdempotentRunParts {
+    GatewayHooks &hooks;
+    Dispatcher &dispatcher;
+    AttemptSender &sender;
+    ServiceTiming &timing;
+    RetryGate &retries;
+};
+
+/** One idempotent request. */
+struct IdempotentRequest {
+    CallerKey caller;
+    ServiceName service;
+    Urgency urgency = Urgency::Normal;
+    std::string body;
+    MonotonicTime deadline;
+    Duration runLimit{};
+    /** Called exactly once. */
+    std::function<void(const IdempotentResult &)> answer;
+    /** Called with an answer that comes after the caller was told that the outcome is unknown. */
+    std::function<void(const IdempotentResult &)> late;
+};
+
+/**
+ * Runs one idempotent request: one attempt, a hedge at another endpoint when the first is slow, and retries within the
+ * budget when attempts fail. The first whole answer wins; others are dropped.
+ *
+ * Thread safety: the gateway's thread. Kept alive by its own pending work.
+ */
+class IdempotentRun : public std::enable_shared_from_this<IdempotentRun>
+{
+public:
+    IdempotentRun(IdempotentRunParts &parts, IdempotentRequest request);
+
+    /** Starts with a slot. */
+    void start(SlotLease lease);
+
+private:
+    void send(SlotLease lease);
+    void hedge();
+    void onAttempt(const AttemptId &attempt, const AttemptResult &result);
+    void retry(const AttemptResult &result);
+    void expire();
+    void tell(const IdempotentResult &result);
+    void tellError(ErrorBody error);
+
+    IdempotentRunParts &m_parts;
+    IdempotentRequest m_request;
+    std::set<EndpointId> m_tried;
+    int m_outstanding = 0;
+    int m_retries = 0;
+    /** Whether an attempt may have run without an answer. */
+    bool m_uncertain = false;
+    bool m_told = false;
+    bool m_answered = false;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Gateway/JobService.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "corianderscale/Coordination/Store.h"
+#include "corianderscale/Gateway/GatewayHooks.h"
+#include "corianderscale/Gateway/RequestCounters.h"
+#include "corianderscale/State/Document.h"
+#include "corianderscale/Transport/HttpServer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace coriander {
+
+/** What the service works with. All references outlive it. */
+struct JobServiceParts {
+    GatewayHooks &hooks;
+    Store &store;
+    RequestCounters &counters;
+    DataCentreId dataCentre;
+    std::function<std::optional<ErrorBody>(const CallerKey &)> admit;
+    /** The document in force. */
+    std::function<std::shared_ptr<const Document>()> document;
+    /** Tells the schedulers of a data centre that a job row has changed. */
+    std::function<void(const DataCentreId &, const JobId &)> hint;
+};
+
+/**
+ * Why a job can never run under a document, or no value when it can: no declared worker or rack is large enough, or the
+ * job is larger than its organisation's quota. Thread safety: pure function.
+ */
+std::optional<ErrorBody> judgeJob(const JobSpec &spec, const OrganisationId &organisation, const Document &document);
+
+/**
+ * Jobs of callers: submission, listing, reading and cancelling.
+ *
+ * A job with a caller's key is written together with a row `jobkeys/<org>/<caller>/<key>` that names it, both on
+ * condition of absence, so that a repeated key finds the first job. Thread safety: the gateway's thread.
+ */
+class JobService
+{
+public:
+    explicit JobService(JobServiceParts parts);
+
+    void submit(const CallerKey &caller, const std::string &body, HttpRespond respond);
+    void get(const CallerKey &caller, const JobId &id, HttpRespond respond);
+    /** Lists the caller's jobs from a place in the order of rows on. */
+    void list(const CallerKey &caller, const std::string &after, std::int64_t limit, HttpRespond respond);
+    void cancel(const CallerKey &caller, const JobId &id, HttpRespond respond);
+
+    /** Calls that have not been answered. */
+    std::size_t inProgress() const;
+
+private:
+    struct Submission;
+    struct Listing;
+    using RowDone = std::function<void(bool known, std::optional<JobRecord>, RowVersion)>;
+
+    void write(const std::shared_ptr<Submission> &submission);
+    void onWritten(const std::shared_ptr<Submission> &submission,
+                   const std::optional<TableTransactionResult> &result,
+                   const CoordinationError &error);
+    void findFirst(const std::shared_ptr<Submission> &submission);
+    void settle(const std::shared_ptr<Submission> &submission);
+    void accept(const std::shared_ptr<Submission> &submission, const JobRecord &record);
+    void refuse(const CallerKey &caller, const ErrorBody &error, const HttpRespond &respond);
+    void readJob(const JobId &id, RowDone done);
+    void writeCancel(const CallerKey &caller, const JobId &id, int triesLeft, const HttpRespond &respond);
+    void listPage(const std::shared_ptr<Listing> &listing);
+    void onPage(const std::shared_ptr<Listing> &listing, const std::optional<TableRows> &rows);
+    HttpRespond counted(HttpRespond respond);
+
+    JobServiceParts m_parts;
+    std::size_t m_inProgress = 0;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Gateway/EndpointDirectory.cpp
@@ -0,0 +1,222 @@
+#include "corianderscale/Gateway/EndpointDirectory.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace coriander {
+
+namespace {
+
+/** An endpoint that has not answered a poll for this long gets nothing new. */
+constexpr Duration PollValidity = std::chrono::seconds(8);
+constexpr std::int64_t BadInRowLimit = 5;
+constexpr std::int64_t LeastSendsToCompare = 10;
+constexpr double BadShareLimit = 0.5;
+constexpr double BadShareWeight = 1.0 / 16;
+constexpr Duration EjectionBase = std::chrono::seconds(5);
+constexpr Duration EjectionLimit = std::chrono::seconds(60);
+/** Percentage of a service's endpoints that may be ejected at once. */
+constexpr std::int64_t EjectedPercentLimit = 30;
+constexpr Duration SlowStart = std::chrono::seconds(10);
+constexpr double SlowStartFloor = 0.1;
+
+} // namespace
+
+EndpointDirectory::EndpointDirectory(InstanceId self)
+    : m_self(std::move(self))
+{
+}
+
+std::vector<EndpointId> EndpointDirectory::setList(const VmList &list)
+{
+    std::vector<EndpointId> leaving;
+    for (auto &[id, entry] : m_entries) {
+        entry.listed = false;
+    }
+    for (const VmEntry &vm : list.vms) {
+        if (vm.role != "endpoint") {
+            continue;
+        }
+        EndpointEntry &entry = m_entries[EndpointId(vm.id)];
+        entry.id = EndpointId(vm.id);
+        entry.listed = true;
+        entry.dataCentre = vm.dataCentre;
+        if (entry.address != vm.address) {
+            entry.address = vm.address;
+            entry.answered = false;
+        }
+        const bool isLeaving = vm.state == "leaving";
+        if (isLeaving && !entry.listedLeaving && !entry.heardLeaving) {
+            leaving.push_back(entry.id);
+        }
+        entry.listedLeaving = isLeaving;
+    }
+    std::erase_if(m_entries, [](const auto &item) { return !item.second.listed && item.second.used == 0; });
+    rebuildServices();
+    return leaving;
+}
+
+void EndpointDirectory::setGateways(std::vector<InstanceId> gateways)
+{
+    m_place = placeAmong(std::move(gateways), m_self);
+}
+
+bool EndpointDirectory::setPolled(const EndpointInfo &info, MonotonicTime now)
+{
+    const auto found = m_entries.find(info.id);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    EndpointEntry &entry = found->second;
+    if (entry.incarnation != info.incarnation) {
+        // A new run of the endpoint is not leaving and has no history, whatever was known of the one before.
+        entry.incarnation = info.incarnation;
+        entry.heardLeaving = false;
+        entry.ejected = false;
+        entry.badInRow = 0;
+        entry.badShare = 0;
+        entry.sends = 0;
+    }
+    entry.slots = info.slots;
+    entry.answered = true;
+    entry.answeredAt = now;
+    if (entry.services != info.services) {
+        entry.services = info.services;
+        rebuildServices();
+    }
+    return info.state == "leaving" && setLeaving(info.id, info.incarnation);
+}
+
+bool EndpointDirectory::setLeaving(const EndpointId &endpoint, const InstanceId &incarnation)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end() || found->second.heardLeaving
+        || (!incarnation.empty() && found->second.incarnation != incarnation)) {
+        return false;
+    }
+    found->second.heardLeaving = true;
+    return true;
+}
+
+void EndpointDirectory::noteSend(const EndpointId &endpoint, SendHealth health, MonotonicTime now)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end()) {
+        return;
+    }
+    EndpointEntry &entry = found->second;
+    const bool bad = health == SendHealth::Bad;
+    ++entry.sends;
+    entry.badShare += ((bad ? 1.0 : 0.0) - entry.badShare) * BadShareWeight;
+    entry.badInRow = bad ? entry.badInRow + 1 : 0;
+    if (!bad || (entry.ejected && now < entry.ejectedUntil)) {
+        return;
+    }
+    if (entry.badInRow >= BadInRowLimit || (entry.sends >= LeastSendsToCompare && entry.badShare > BadShareLimit)) {
+        ejectIfAllowed(entry, now);
+    }
+}
+
+bool EndpointDirectory::mayEject(const EndpointEntry &endpoint, MonotonicTime now) const
+{
+    return std::all_of(endpoint.services.begin(), endpoint.services.end(), [&](const ServiceName &service) {
+        const std::vector<EndpointId> &all = ofService(service);
+        const auto ejected = std::count_if(all.begin(), all.end(), [&](const EndpointId &id) {
+            const EndpointEntry &entry = m_entries.at(id);
+            return entry.ejected && now < entry.ejectedUntil;
+        });
+        return (ejected + 1) * 100 <= EjectedPercentLimit * static_cast<std::int64_t>(all.size());
+    });
+}
+
+void EndpointDirectory::ejectIfAllowed(EndpointEntry &endpoint, MonotonicTime now)
+{
+    if (!mayEject(endpoint, now)) {
+        return;
+    }
+    ++endpoint.ejections;
+    endpoint.ejected = true;
+    endpoint.ejectedUntil = now + std::min<Duration>(EjectionBase * endpoint.ejections, EjectionLimit);
+    endpoint.returnedAt = endpoint.ejectedUntil;
+    endpoint.slowStart = true;
+    endpoint.badInRow = 0;
+    endpoint.badShare = 0;
+    endpoint.sends = 0;
+}
+
+void EndpointDirectory::takeSlot(const EndpointId &endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    assert(found != m_entries.end() && "only slots of known endpoints are taken");
+    ++found->second.used;
+}
+
+void EndpointDirectory::freeSlot(const EndpointId &endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    assert(found != m_entries.end() && found->second.used > 0 && "an endpoint with used slots stays known");
+    --found->second.used;
+}
+
+bool EndpointDirectory::usable(const EndpointEntry &endpoint, MonotonicTime now) const
+{
+    return endpoint.listed && endpoint.answered && !endpoint.listedLeaving && !endpoint.heardLeaving
+        && now - endpoint.answeredAt <= PollValidity && !(endpoint.ejected && now < endpoint.ejectedUntil);
+}
+
+std::int64_t EndpointDirectory::share(const EndpointEntry &endpoint, MonotonicTime now) const
+{
+    const std::int64_t whole = slotShare(endpoint.id, endpoint.slots, m_place);
+    if (!endpoint.slowStart || now >= endpoint.returnedAt + SlowStart) {
+        return whole;
+    }
+    const double back
+        = static_cast<double>((now - endpoint.returnedAt).count()) / static_cast<double>(SlowStart.count());
+    const auto reduced = static_cast<std::int64_t>(static_cast<double>(whole) * std::max(SlowStartFloor, back));
+    return std::min(whole, std::max<std::int64_t>(1, reduced));
+}
+
+std::int64_t EndpointDirectory::freeShare(const EndpointEntry &endpoint, MonotonicTime now) const
+{
+    return usable(endpoint, now) ? std::max<std::int64_t>(0, share(endpoint, now) - endpoint.used) : 0;
+}
+
+const EndpointEntry *EndpointDirectory::find(const EndpointId &endpoint) const
+{
+    const auto found = m_entries.find(endpoint);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const std::map<EndpointId, EndpointEntry> &EndpointDirectory::entries() const
+{
+    return m_entries;
+}
+
+const std::vector<EndpointId> &EndpointDirectory::ofService(const ServiceName &service) const
+{
+    static const std::vector<EndpointId> None;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? None : found->second;
+}
+
+std::int64_t EndpointDirectory::totalShare(const ServiceName &service, MonotonicTime now) const
+{
+    std::int64_t total = 0;
+    for (const EndpointId &id : ofService(service)) {
+        const EndpointEntry &entry = m_entries.at(id);
+        total += usable(entry, now) ? share(entry, now) : 0;
+    }
+    return total;
+}
+
+void EndpointDirectory::rebuildServices()
+{
+    m_services.clear();
+    for (const auto &[id, entry] : m_entries) {
+        for (const ServiceName &service : entry.services) {
+            m_services[service].push_back(id);
+        }
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Gateway/RequestCounters.cpp
@@ -0,0 +1,297 @@
+#include "corianderscale/Gateway/RequestCounters.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+/** A commit starts at most this long after the first count it covers, and at most this often. */
+constexpr Duration FlushInterval = std::chrono::milliseconds(50);
+constexpr Duration CommitLimit = std::chrono::seconds(2);
+/** When a commit takes longer, peers get copies, so that answers are not held up by a slow store. */
+constexpr Duration CopyAfter = std::chrono::milliseconds(200);
+constexpr Duration FirstRetry = std::chrono::milliseconds(200);
+constexpr int RetryDoublings = 4;
+constexpr std::size_t OperationBytes = 16;
+
+void addTo(ItemCounts &counts, CountAs as)
+{
+    ++counts.accepted;
+    switch (as) {
+    case CountAs::Finished:
+        ++counts.finished;
+        return;
+    case CountAs::Failed:
+        ++counts.failed;
+        return;
+    case CountAs::RefusedNotRun:
+        ++counts.refusedNotRun;
+        return;
+    case CountAs::Unknown:
+        ++counts.unknown;
+        return;
+    }
+}
+
+/** Whether @p stored holds at least the counts of @p own, element by element. */
+bool covers(const CountsRecord &stored, const CountsRecord &own)
+{
+    return std::all_of(own.counts.begin(), own.counts.end(), [&stored](const auto &item) {
+        const auto found = stored.counts.find(item.first);
+        ItemCounts merged = found == stored.counts.end() ? ItemCounts() : found->second;
+        merged.mergeLarger(item.second);
+        return found != stored.counts.end() && merged == found->second;
+    });
+}
+
+} // namespace
+
+RequestCounters::RequestCounters(
+    GatewayHooks &hooks, Store &store, InstanceId gateway, DayOf dayOf, CopyToPeers copyToPeers)
+    : m_hooks(hooks)
+    , m_store(store)
+    , m_gateway(std::move(gateway))
+    , m_dayOf(std::move(dayOf))
+    , m_copyToPeers(std::move(copyToPeers))
+{
+}
+
+void RequestCounters::setDayOf(DayOf dayOf)
+{
+    m_dayOf = std::move(dayOf);
+}
+
+void RequestCounters::count(const CallerKey &caller, CountAs as, std::function<void()> release)
+{
+    const std::string name = m_dayOf(m_hooks.clock.wallNow());
+    Day &day = m_days[name];
+    day.record.day = name;
+    day.record.gateway = m_gateway;
+    addTo(day.record.counts[caller], as);
+    day.waiting.push_back({++day.sequence, m_hooks.clock.now(), std::move(release)});
+    armFlush(name);
+    armCopy(name);
+}
+
+void RequestCounters::armCopy(const std::string &name)
+{
+    Day &day = m_days.at(name);
+    if (day.copyArmed) {
+        return;
+    }
+    day.copyArmed = true;
+    const Duration wait = day.failures > 0 ? FlushInterval : CopyAfter;
+    m_hooks.at(m_hooks.clock.now() + wait, [this, name] {
+        Day &late = m_days.at(name);
+        late.copyArmed = false;
+        if (late.waiting.empty()) {
+            return;
+        }
+        if (late.failures > 0 || m_hooks.clock.now() - late.waiting.front().countedAt >= CopyAfter) {
+            copy(name);
+        }
+        armCopy(name);
+    });
+}
+
+void RequestCounters::armFlush(const std::string &name)
+{
+    Day &day = m_days.at(name);
+    if (day.flushArmed || day.inFlight) {
+        return;
+    }
+    day.flushArmed = true;
+    const MonotonicTime now = m_hooks.clock.now();
+    const MonotonicTime due = day.everStarted ? std::max(now, day.lastStart + FlushInterval) : now;
+    m_hooks.at(due, [this, name] {
+        m_days.at(name).flushArmed = false;
+        startCommit(name);
+    });
+}
+
+void RequestCounters::startCommit(const std::string &name)
+{
+    Day &day = m_days.at(name);
+    if (day.inFlight) {
+        return;
+    }
+    day.inFlight = true;
+    day.everStarted = true;
+    day.lastStart = m_hooks.clock.now();
+    day.record.closed = day.closing;
+    day.record.flushedUnixMs = toUnixMs(m_hooks.clock.wallNow());
+    const std::string key = countsRowKey(name, m_gateway);
+    TableTransaction transaction;
+    transaction.operation = OperationId(m_hooks.randomHex(OperationBytes));
+    transaction.conditions.push_back({key, day.version});
+    transaction.puts.push_back({key, encodeMessage(day.record)});
+    const std::uint64_t sequence = day.sequence;
+    m_store.commit(std::move(transaction),
+                   m_hooks.clock.now() + CommitLimit,
+                   [this, name, sequence, closed = day.closing](std::optional<TableTransactionResult> result,
+                                                                const CoordinationError &) {
+                       m_hooks.post([this, name, sequence, closed, result = std::move(result)] {
+                           onCommit(name, sequence, closed, result);
+                       });
+                   });
+}
+
+void RequestCounters::onCommit(const std::string &name,
+                               std::uint64_t sequence,
+                               bool closed,
+                               const std::optional<TableTransactionResult> &result)
+{
+    Day &day = m_days.at(name);
+    if (!result || !result->committed) {
+        // A lost answer and a conflict are both settled by the row itself; only peers write it besides this gateway.
+        readBack(name);
+        return;
+    }
+    day.inFlight = false;
+    day.failures = 0;
+    day.version = result->version;
+    day.closedInTable = closed;
+    day.committedSequence = std::max(day.committedSequence, sequence);
+    release(day, sequence);
+    if (day.committedSequence < day.sequence || (day.closing && !day.closedInTable)) {
+        armFlush(name);
+    }
+    checkClosed();
+}
+
+void RequestCounters::readBack(const std::string &name)
+{
+    m_store.read({countsRowKey(name, m_gateway)},
+                 m_hooks.clock.now() + CommitLimit,
+                 [this, name](std::optional<TableRows> rows, const CoordinationError &) {
+                     m_hooks.post([this, name, rows = std::move(rows)] { onReadBack(name, rows); });
+                 });
+}
+
+void RequestCounters::onReadBack(const std::string &name, const std::optional<TableRows> &rows)
+{
+    Day &day = m_days.at(name);
+    day.inFlight = false;
+    if (!rows || rows->rows.empty()) {
+        copy(name);
+        retryLater(name);
+        return;
+    }
+    const TableRow &row = rows->rows.front();
+    day.version = row.version;
+    ProtocolError error;
+    const auto stored = row.version == RowVersion(0) ? std::nullopt : decodeMessage<CountsRecord>(row.value, error);
+    if (stored) {
+        for (const auto &[caller, counts] : stored->counts) {
+            day.record.counts[caller].mergeLarger(counts);
+        }
+        if (covers(*stored, day.record) && stored->closed == day.closing) {
+            day.committedSequence = day.sequence;
+            day.closedInTable = stored->closed;
+            release(day, day.sequence);
+        }
+    }
+    if (day.committedSequence < day.sequence || day.closing != day.closedInTable) {
+        retryLater(name);
+    }
+    checkClosed();
+}
+
+void RequestCounters::retryLater(const std::string &name)
+{
+    Day &day = m_days.at(name);
+    if (day.flushArmed) {
+        return;
+    }
+    day.flushArmed = true;
+    const Duration wait = FirstRetry * (1 << std::min(day.failures++, RetryDoublings));
+    m_hooks.at(m_hooks.clock.now() + wait, [this, name] {
+        m_days.at(name).flushArmed = false;
+        startCommit(name);
+    });
+}
+
+void RequestCounters::copy(const std::string &name)
+{
+    Day &day = m_days.at(name);
+    const std::uint64_t sequence = day.sequence;
+    m_copyToPeers(day.record, [this, name, sequence](int copies) {
+        const auto found = m_days.find(name);
+        if (found == m_days.end()) {
+            return;
+        }
+        Day &copied = found->second;
+        if (copies == 0 && copied.committedSequence < sequence) {
+            ++m_unprotected;
+            logEvent(LogLevel::Warning, "counts-unprotected", {{"day", name}, {"reason", "no peer holds a copy"}});
+        }
+        release(copied, sequence);
+    });
+}
+
+void RequestCounters::release(Day &day, std::uint64_t sequence)
+{
+    std::deque<Waiting> safe;
+    while (!day.waiting.empty() && day.waiting.front().sequence <= sequence) {
+        safe.push_back(std::move(day.waiting.front()));
+        day.waiting.pop_front();
+    }
+    for (const Waiting &waiting : safe) {
+        waiting.release();
+    }
+}
+
+void RequestCounters::closeOldDays()
+{
+    const std::string today = m_dayOf(m_hooks.clock.wallNow());
+    for (auto &[name, day] : m_days) {
+        if (name < today && !day.closing) {
+            day.closing = true;
+            armFlush(name);
+        }
+    }
+    std::erase_if(m_days, [&today](const auto &item) {
+        return item.first < today && item.second.closedInTable && !item.second.flushArmed && !item.second.copyArmed
+            && !item.second.inFlight && item.second.waiting.empty();
+    });
+}
+
+void RequestCounters::close(std::function<void(bool)> done)
+{
+    m_closed = std::move(done);
+    for (auto &[name, day] : m_days) {
+        day.closing = true;
+        armFlush(name);
+    }
+    checkClosed();
+}
+
+void RequestCounters::checkClosed()
+{
+    const bool all = std::all_of(m_days.begin(), m_days.end(), [](const auto &item) {
+        return item.second.closedInTable && item.second.committedSequence == item.second.sequence;
+    });
+    if (all && m_closed) {
+        std::exchange(m_closed, nullptr)(true);
+    }
+}
+
+std::size_t RequestCounters::uncommitted() const
+{
+    std::size_t total = 0;
+    for (const auto &[name, day] : m_days) {
+        total += static_cast<std::size_t>(day.sequence - day.committedSequence);
+    }
+    return total;
+}
+
+std::int64_t RequestCounters::unprotectedReleases() const
+{
+    return m_unprotected;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Gateway/RequestService.cpp
@@ -0,0 +1,380 @@
+#include "corianderscale/Gateway/RequestService.h"
+
+#include "corianderscale/Gateway/GatewayReplies.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+namespace {
+
+constexpr std::size_t KeptAnswerBytes = 32 * 1024 * 1024;
+constexpr std::size_t MaximumKeyBytes = 128;
+constexpr std::size_t MaximumRecentKeys = 50'000;
+/** A connection is not held longer for one request. */
+constexpr Duration LongestWait = std::chrono::minutes(10);
+/** How long somebody who asks for an orphaned claim waits for it to be settled. */
+constexpr Duration SettleWait = std::chrono::seconds(5);
+/** A claim whose attempt should have ended this long ago is settled even when its gateway seems to live. */
+constexpr std::int64_t OrphanMarginMs = 5000;
+
+ErrorBody cutOff()
+{
+    return {"cut-off", Outcome::NotRun, "the store is away; this submission was not run; ask again later", 1000};
+}
+
+} // namespace
+
+RequestService::RequestService(RequestServiceParts parts)
+    : m_parts(std::move(parts))
+    , m_idempotentParts{m_parts.hooks, m_parts.dispatcher, m_parts.sender, m_parts.timing, m_parts.retries}
+    , m_claimedParts{m_parts.hooks,
+                     m_parts.dispatcher,
+                     m_parts.sender,
+                     m_parts.records,
+                     m_parts.retries,
+                     m_parts.gateway}
+    , m_kept(KeptAnswerBytes)
+    , m_recent(MaximumRecentKeys)
+{
+}
+
+bool RequestService::isValidKey(const std::string &key)
+{
+    return !key.empty() && key.size() <= MaximumKeyBytes && std::all_of(key.begin(), key.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '_'
+            || c == ':' || c == '-';
+    });
+}
+
+bool RequestService::setDeadlines(Exchange &exchange) const
+{
+    const Clock &clock = m_parts.hooks.clock;
+    const MonotonicTime now = clock.now();
+    const std::chrono::milliseconds queueLimit(exchange.service.queueLimitMs);
+    const std::chrono::milliseconds runLimit(exchange.service.runLimitMs);
+    const Duration runTime = m_parts.timing.mean(exchange.request.service);
+    if (exchange.request.deadlineUnixMs == 0) {
+        exchange.startDeadline = now + queueLimit;
+        exchange.deadline = now + queueLimit + runLimit;
+        return true;
+    }
+    const MonotonicTime asked = toMonotonic(fromUnixMs(exchange.request.deadlineUnixMs), clock);
+    exchange.deadline = std::min(asked, now + LongestWait);
+    exchange.startDeadline = exchange.deadline - runTime;
+    return exchange.startDeadline > now;
+}
+
+void RequestService::submit(const IncomingRequest &request, const ServiceSpec &service, HttpRespond respond)
+{
+    ++m_inProgress;
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->request = request;
+    exchange->service = service;
+    exchange->respond = std::move(respond);
+    if (!request.key.empty()) {
+        exchange->rowKey = requestRowKey(request.caller.organisation, request.caller.caller, request.key);
+    }
+    if (const auto refusal = m_parts.admit(request.caller)) {
+        refuse(exchange, *refusal);
+        return;
+    }
+    if (!setDeadlines(*exchange)) {
+        refuse(exchange, {"too-late", Outcome::Rejected, "the deadline leaves no time to run; give more time"});
+        return;
+    }
+    if (service.idempotent) {
+        submitIdempotent(exchange);
+    } else {
+        submitClaimed(exchange);
+    }
+}
+
+void RequestService::submitIdempotent(const ExchangePointer &exchange)
+{
+    if (!exchange->rowKey.empty()) {
+        m_kept.begin(exchange->rowKey, m_parts.hooks.clock.now());
+    }
+    SlotRequest slot;
+    slot.service = exchange->request.service;
+    slot.urgency = exchange->request.urgency;
+    slot.caller = exchange->request.caller;
+    slot.startDeadline = exchange->startDeadline;
+    slot.start = [this, exchange](SlotLease lease) {
+        IdempotentRequest run;
+        run.caller = exchange->request.caller;
+        run.service = exchange->request.service;
+        run.urgency = exchange->request.urgency;
+        run.body = exchange->request.body;
+        run.deadline = exchange->deadline;
+        run.runLimit = std::chrono::milliseconds(exchange->service.runLimitMs);
+        run.answer = [this, exchange](const IdempotentResult &result) {
+            finishIdempotent(exchange, result);
+        };
+        run.late = [this, exchange](const IdempotentResult &result) {
+            keep(exchange, answerResponse(result.status, result.body, result.attempt));
+        };
+        std::make_shared<IdempotentRun>(m_idempotentParts, std::move(run))->start(std::move(lease));
+    };
+    slot.refuse = [this, exchange](const ErrorBody &error) {
+        refuse(exchange, error);
+    };
+    m_parts.dispatcher.submit(std::move(slot));
+}
+
+void RequestService::finishIdempotent(const ExchangePointer &exchange, const IdempotentResult &result)
+{
+    HttpResponse response
+        = result.answered ? answerResponse(result.status, result.body, result.attempt) : errorResponse(result.error);
+    CountAs as = CountAs::Finished;
+    if (result.answered) {
+        as = result.status < 400 ? CountAs::Finished : CountAs::Failed;
+    } else {
+        as = result.error.outcome == Outcome::Unknown ? CountAs::Unknown : CountAs::RefusedNotRun;
+    }
+    keep(exchange, response);
+    m_parts.counters.count(exchange->request.caller, as, [this, exchange, response = std::move(response)] {
+        respond(exchange, response);
+    });
+}
+
+void RequestService::submitClaimed(const ExchangePointer &exchange)
+{
+    if (m_parts.store.state() == StoreState::Away) {
+        refuse(exchange, cutOff());
+        return;
+    }
+    m_parts.records.read(exchange->rowKey,
+                         exchange->startDeadline,
+                         [this, exchange](const std::optional<RequestSnapshot> &row) { onRowRead(exchange, row); });
+}
+
+void RequestService::onRowRead(const ExchangePointer &exchange, const std::optional<RequestSnapshot> &row)
+{
+    if (!row) {
+        refuse(exchange, cutOff());
+        return;
+    }
+    if (!row->record) {
+        queueClaimed(exchange, row->version);
+        return;
+    }
+    const RequestRecord &record = *row->record;
+    if (record.state == RequestState::NotRun && record.service == exchange->request.service
+        && record.bodyDigest == contentDigest(exchange->request.body)) {
+        // The record proves that nothing ran, so the same request may be tried anew under its key.
+        queueClaimed(exchange, row->version);
+        return;
+    }
+    answerDuplicate(exchange, *row);
+}
+
+void RequestService::queueClaimed(const ExchangePointer &exchange, RowVersion replaces)
+{
+    SlotRequest slot;
+    slot.service = exchange->request.service;
+    slot.urgency = exchange->request.urgency;
+    slot.caller = exchange->request.caller;
+    slot.startDeadline = exchange->startDeadline;
+    slot.start = [this, exchange, replaces](SlotLease lease) {
+        startClaimed(exchange, replaces, std::move(lease));
+    };
+    slot.refuse = [this, exchange](const ErrorBody &error) {
+        refuse(exchange, error);
+    };
+    m_parts.dispatcher.submit(std::move(slot));
+}
+
+void RequestService::startClaimed(const ExchangePointer &exchange, RowVersion replaces, SlotLease lease)
+{
+    ++m_active[exchange->rowKey];
+    m_recent.add(exchange->rowKey);
+    ClaimedRequest run;
+    run.caller = exchange->request.caller;
+    run.key = exchange->request.key;
+    run.service = exchange->request.service;
+    run.urgency = exchange->request.urgency;
+    run.body = exchange->request.body;
+    run.deadline = exchange->deadline;
+    run.runLimit = std::chrono::milliseconds(exchange->service.runLimitMs);
+    run.replaces = replaces;
+    run.answer = [this, exchange](const ClaimedResult &result) {
+        finishClaimed(exchange, result);
+    };
+    run.ended = [this, key = exchange->rowKey] {
+        if (--m_active[key] == 0) {
+            m_active.erase(key);
+        }
+    };
+    std::make_shared<ClaimedRun>(m_claimedParts, std::move(run))->start(std::move(lease));
+}
+
+void RequestService::finishClaimed(const ExchangePointer &exchange, const ClaimedResult &result)
+{
+    switch (result.end) {
+    case ClaimedEnd::Recorded:
+        if (result.row.record->state == RequestState::NotRun) {
+            m_recent.remove(exchange->rowKey);
+        }
+        respond(exchange, recordResponse(*result.row.record, result.row.record->answer));
+        return;
+    case ClaimedEnd::Duplicate:
+        answerDuplicate(exchange, result.row);
+        return;
+    case ClaimedEnd::Refused:
+        m_recent.remove(exchange->rowKey);
+        refuse(exchange, result.error);
+        return;
+    case ClaimedEnd::Unknown:
+        respond(exchange, errorResponse(result.error));
+        return;
+    }
+}
+
+void RequestService::answerDuplicate(const ExchangePointer &exchange, const RequestSnapshot &row)
+{
+    if (!row.record) {
+        respond(exchange, errorResponse({"outcome-unknown", Outcome::Unknown, "the record changed; ask again", 100}));
+        return;
+    }
+    if (row.record->service != exchange->request.service
+        || row.record->bodyDigest != contentDigest(exchange->request.body)) {
+        respond(
+            exchange,
+            errorResponse({"invalid", Outcome::Rejected, "the key was used for another request; use a new key", 0}));
+        return;
+    }
+    answerFromRecord(exchange, row);
+}
+
+void RequestService::answerFromRecord(const ExchangePointer &exchange, const RequestSnapshot &row)
+{
+    const RequestRecord &record = *row.record;
+    if (record.state == RequestState::Claimed && isOrphan(record, exchange->rowKey)) {
+        settleOrphan(exchange, row);
+        return;
+    }
+    if (record.answerObject.empty()) {
+        respond(exchange, recordResponse(record, record.answer));
+        return;
+    }
+    m_parts.records.getAnswer(record.answerObject, [this, exchange, record](const std::optional<std::string> &answer) {
+        if (!answer || contentDigest(*answer) != record.answerDigest) {
+            respond(exchange,
+                    errorResponse({"outcome-unknown",
+                                   Outcome::Unknown,
+                                   "it ran, but its answer cannot be read now; ask again with the same key",
+                                   1000}));
+            return;
+        }
+        respond(exchange, recordResponse(record, *answer));
+    });
+}
+
+bool RequestService::isOrphan(const RequestRecord &record, const std::string &rowKey) const
+{
+    if (m_active.contains(rowKey)) {
+        return false;
+    }
+    if (record.gateway == m_parts.gateway || !m_parts.isLive(record.gateway)) {
+        return true;
+    }
+    return toUnixMs(m_parts.hooks.clock.wallNow()) > record.startByUnixMs + OrphanMarginMs;
+}
+
+void RequestService::settleOrphan(const ExchangePointer &exchange, const RequestSnapshot &row)
+{
+    ++m_active[exchange->rowKey];
+    ClaimedRequest run;
+    run.deadline = std::max(exchange->deadline, m_parts.hooks.clock.now() + SettleWait);
+    run.answer = [this, exchange](const ClaimedResult &result) {
+        // Another settler may have been faster; whatever the row says now is the answer.
+        if (result.end == ClaimedEnd::Recorded || (result.end == ClaimedEnd::Duplicate && result.row.record)) {
+            respond(exchange, recordResponse(*result.row.record, result.row.record->answer));
+            return;
+        }
+        respond(exchange, errorResponse({"outcome-unknown", Outcome::Unknown, "not settled yet; ask again", 1000}));
+    };
+    run.ended = [this, key = exchange->rowKey] {
+        if (--m_active[key] == 0) {
+            m_active.erase(key);
+        }
+    };
+    std::make_shared<ClaimedRun>(m_claimedParts, std::move(run))->settle(*row.record, row.version);
+}
+
+void RequestService::get(const CallerKey &caller, const RequestKey &key, HttpRespond respondHook)
+{
+    ++m_inProgress;
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->request.caller = caller;
+    exchange->request.key = key;
+    exchange->respond = std::move(respondHook);
+    exchange->rowKey = requestRowKey(caller.organisation, caller.caller, key);
+    const MonotonicTime now = m_parts.hooks.clock.now();
+    exchange->deadline = now + SettleWait;
+    if (const auto kept = m_kept.find(exchange->rowKey, now)) {
+        respond(exchange,
+                kept->pending ? errorResponse({"outcome-unknown", Outcome::Unknown, "under way; ask again", 100})
+                              : kept->response);
+        return;
+    }
+    m_parts.records.read(
+        exchange->rowKey, exchange->deadline, [this, exchange](const std::optional<RequestSnapshot> &row) {
+            if (!row) {
+                respond(exchange,
+                        errorResponse({"cut-off", Outcome::Unknown, "the store is away; ask again later", 1000}));
+                return;
+            }
+            if (!row->record) {
+                respond(exchange, errorResponse({"not-found", Outcome::Rejected, "no request has this key", 0}));
+                return;
+            }
+            answerFromRecord(exchange, *row);
+        });
+}
+
+void RequestService::refuse(const ExchangePointer &exchange, const ErrorBody &error)
+{
+    if (!exchange->service.idempotent && m_recent.contains(exchange->rowKey)) {
+        // An earlier submission of the key got a claim here; a refusal must not read as if that one had not run.
+        respond(exchange,
+                errorResponse({"outcome-unknown",
+                               Outcome::Unknown,
+                               "the key was submitted before; ask GET /v1/requests/" + exchange->request.key.value(),
+                               1000}));
+        return;
+    }
+    HttpResponse response = errorResponse(error);
+    if (exchange->service.idempotent) {
+        keep(exchange, response);
+    }
+    m_parts.counters.count(exchange->request.caller,
+                           CountAs::RefusedNotRun,
+                           [this, exchange, response = std::move(response)] { respond(exchange, response); });
+}
+
+void RequestService::respond(const ExchangePointer &exchange, HttpResponse response)
+{
+    --m_inProgress;
+    exchange->respond(std::move(response));
+}
+
+void RequestService::keep(const ExchangePointer &exchange, const HttpResponse &response)
+{
+    if (!exchange->rowKey.empty()) {
+        m_kept.keep(exchange->rowKey, response, m_parts.hooks.clock.now());
+    }
+}
+
+std::size_t RequestService::inProgress() const
+{
+    return m_inProgress;
+}
+
+std::size_t RequestService::activeClaims() const
+{
+    return m_active.size();
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Standin/EndpointServer.cpp
@@ -0,0 +1,155 @@
+#include "corianderscale/Standin/EndpointServer.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+namespace {
+
+/** How late an attempt may end. */
+constexpr Duration WorkStep = std::chrono::milliseconds(1);
+
+int statusOf(const EndpointRefusal &refusal)
+{
+    if (refusal.code == "slot-full") {
+        return 429;
+    }
+    if (refusal.code == "too-late") {
+        return 410;
+    }
+    if (refusal.code == "leaving") {
+        return 503;
+    }
+    return refusal.code == "unknown-service" ? 404 : 409;
+}
+
+std::optional<std::int64_t> parseUnixMs(const std::string &text)
+{
+    if (text.empty() || text.size() > 15 || text.find_first_not_of("0123456789") != std::string::npos) {
+        return std::nullopt;
+    }
+    return std::stoll(text);
+}
+
+} // namespace
+
+EndpointServer::EndpointServer(EndpointModelSettings settings, std::string listen, const std::string &ledgerFile)
+    : m_clock(systemClock())
+    , m_model(std::move(settings))
+    , m_server(std::move(listen), HttpServerLimits())
+{
+    if (!ledgerFile.empty()) {
+        m_ledger.open(ledgerFile, std::ios::app);
+    }
+}
+
+EndpointServer::~EndpointServer()
+{
+    m_duty.reset();
+    m_server.stop(m_clock.now());
+}
+
+bool EndpointServer::start(TransportError &error)
+{
+    addRoutes();
+    if (!m_server.start(error)) {
+        return false;
+    }
+    m_duty = std::make_unique<DutyThread>("endpoint-work", [this] { finishAttempts(); });
+    return true;
+}
+
+void EndpointServer::leave()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_model.leave();
+}
+
+bool EndpointServer::drained() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_model.drained() && m_waiting.empty();
+}
+
+void EndpointServer::addRoutes()
+{
+    m_server.route("GET", "/v1/endpoint", [this](const HttpRequest &, const auto &, const HttpRespond &respond) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        respond(jsonResponse(200, encodeMessage(m_model.info(static_cast<std::int64_t>(m_waiting.size())))));
+    });
+    m_server.route("POST",
+                   "/v1/run/{service}",
+                   [this](const HttpRequest &request, const auto &captures, const HttpRespond &respond) {
+                       runAttempt(request, ServiceName(captures.front()), respond);
+                   });
+    m_server.route(
+        "GET", "/v1/attempts/{id}", [this](const HttpRequest &, const auto &captures, const HttpRespond &respond) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            respond(jsonResponse(200, encodeMessage(m_model.status(AttemptId(captures.front())))));
+        });
+    m_server.route("POST",
+                   "/v1/attempts/{id}/fence",
+                   [this](const HttpRequest &, const auto &captures, const HttpRespond &respond) {
+                       const std::lock_guard<std::mutex> lock(m_mutex);
+                       respond(jsonResponse(200, encodeMessage(m_model.fence(AttemptId(captures.front())))));
+                   });
+}
+
+void EndpointServer::runAttempt(const HttpRequest &request, const ServiceName &service, const HttpRespond &respond)
+{
+    EndpointRun run;
+    run.attempt = AttemptId(request.header(AttemptIdHeader));
+    run.service = service;
+    run.body = request.body;
+    const std::string startBy = request.header(StartByHeader);
+    const std::optional<std::int64_t> startByUnixMs
+        = startBy.empty() ? std::optional<std::int64_t>(0) : parseUnixMs(startBy);
+    if (run.attempt.empty() || !startByUnixMs) {
+        respond(jsonResponse(400, encodeMessage(EndpointRefusal{"invalid", false})));
+        return;
+    }
+    run.startByUnixMs = *startByUnixMs;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (const auto refusal = m_model.run(run, m_clock.now(), m_clock.wallNow())) {
+        respond(jsonResponse(statusOf(*refusal), encodeMessage(*refusal)));
+        return;
+    }
+    writeLedger("started", run.attempt, contentDigest(run.body));
+    m_waiting[run.attempt] = respond;
+}
+
+void EndpointServer::finishAttempts()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (const EndpointFinished &finished : m_model.finish(m_clock.now())) {
+            answer(finished);
+        }
+    }
+    std::this_thread::sleep_for(WorkStep);
+}
+
+void EndpointServer::answer(const EndpointFinished &finished)
+{
+    writeLedger("finished", finished.attempt, finished.bodyDigest);
+    const auto waiting = m_waiting.find(finished.attempt);
+    if (waiting == m_waiting.end()) {
+        return;
+    }
+    HttpResponse response = jsonResponse(200, finished.answer);
+    response.headers[AttemptIdHeader] = finished.attempt.value();
+    response.headers[ContentDigestHeader] = contentDigest(finished.answer);
+    waiting->second(std::move(response));
+    m_waiting.erase(waiting);
+}
+
+void EndpointServer::writeLedger(const char *what, const AttemptId &attempt, const std::string &bodyDigest)
+{
+    if (m_ledger.is_open()) {
+        m_ledger << what << ' ' << attempt.value() << ' ' << bodyDigest << '\n' << std::flush;
+    }
+}
+
+} // namespace coriander
