decision: check every promise on generated histories against an exact checker

Cause: the invariant of guarantees and the gang bound need proof that shares no code with the library. Faults found by them and fixed: instances of a removed guarantee stayed pinned when two covered one job; a guarantee was called impaired although moving pins from under running jobs would have given it; a quarantined worker was never probed when only gangs or pressing jobs waited; a job that avoided too many workers waited for ever.

--- a/include/corianderscale/Decision/GuaranteeBook.h
+++ b/include/corianderscale/Decision/GuaranteeBook.h
@@ -84,7 +84,8 @@
     bool movable(const Instance &instance) const;
     std::vector<PackNode> nodes(const Fleet &fleet) const;
     bool placeDirectly(Fleet &fleet, Instance &instance);
-    bool repack(Fleet &fleet);
+    /** Places all movable instances anew, and with @p underJobs all others too; changes nothing on failure. */
+    bool repack(Fleet &fleet, bool underJobs);
     std::vector<std::pair<OrganisationIndex, WorkerIndex>> deficits() const;
 
     std::vector<Instance> m_instances;
--- a/include/corianderscale/Decision/Job.h
+++ b/include/corianderscale/Decision/Job.h
@@ -44,7 +44,8 @@
     bool hasCheckpoint = false;
     bool cancelRequested = false;
     bool riskReported = false;
-    bool probe = false;
+    /** The worker in quarantine that this job probes. */
+    std::optional<WorkerIndex> probe;
     MonotonicTime startedAt{};
     MonotonicTime checkpointedAt{};
     MonotonicTime checkpointAskedAt{};
--- a/include/corianderscale/Decision/Policy.h
+++ b/include/corianderscale/Decision/Policy.h
@@ -31,7 +31,7 @@
     std::vector<WorkerIndex> avoid;
     /** When set, a worker with a non-zero entry is kept for another job. */
     const std::vector<char> *reserved = nullptr;
-    /** Whether a worker in quarantine may be used, as the probe of that worker. */
+    /** A worker in quarantine that the job is to probe: a single task runs there, a gang may use it. */
     std::optional<WorkerIndex> probe;
     /** Free resources of a worker as the caller of the hook wants them seen; the fleet's when not set. */
     std::function<Resources(WorkerIndex)> freeOf;
--- a/lib/Decision/GuaranteeBook.cpp
+++ b/lib/Decision/GuaranteeBook.cpp
@@ -91,14 +91,13 @@
     // Instances under running jobs are kept before others of the same shape.
     for (const bool inUse : {true, false}) {
         for (Instance &instance : m_instances) {
-            if (instance.organisation != organisation || instance.shape.accelerators == 0) {
+            if (instance.organisation != organisation || instance.shape.accelerators <= 0) {
                 continue;
             }
-            std::int64_t &left = wanted[{instance.shape.accelerators, instance.shape.closeness}];
-            const bool used = instance.placed && !movable(instance);
-            if (used != inUse) {
+            if (inUse && (!instance.placed || movable(instance))) {
                 continue;
             }
+            std::int64_t &left = wanted[{instance.shape.accelerators, instance.shape.closeness}];
             if (left > 0) {
                 --left;
                 instance.shape.accelerators = -instance.shape.accelerators;
@@ -189,13 +188,13 @@
     return true;
 }
 
-bool GuaranteeBook::repack(Fleet &fleet)
+bool GuaranteeBook::repack(Fleet &fleet, bool underJobs)
 {
     std::vector<std::size_t> moving;
     std::vector<std::vector<Pin>> before;
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         Instance &instance = m_instances[i];
-        if (!instance.placed || movable(instance)) {
+        if (underJobs || !instance.placed || movable(instance)) {
             moving.push_back(i);
             before.push_back(instance.pins);
             lift(fleet, instance);
@@ -256,8 +255,10 @@
     for (Instance *instance : missing) {
         complete = placeDirectly(fleet, *instance) && complete;
     }
-    if (!complete) {
-        repack(fleet);
+    // A guarantee is impaired only when it cannot be given at all. So pins under running jobs move as a last resort;
+    // the jobs become lent, and their organisation has the guarantee elsewhere.
+    if (!complete && !repack(fleet, false)) {
+        repack(fleet, true);
     }
     return {deficits()};
 }
@@ -311,7 +312,7 @@
         }
     }
     bool covered = !uncovered();
-    covered = covered && repack(fleet);
+    covered = covered && repack(fleet, false);
     claim(fleet, organisation, probe, -1);
     if (covered) {
         return true;
--- a/lib/Decision/JobEvents.cpp
+++ b/lib/Decision/JobEvents.cpp
@@ -222,8 +222,8 @@
             refusedBy.push_back(*worker);
         }
     }
-    if (job->probe && !job->parts.empty()) {
-        m_quarantine.recordProbe(job->parts.front().worker, false, m_now);
+    if (job->probe) {
+        m_quarantine.recordProbe(*job->probe, false, m_now);
     }
     release(*job);
     if (job->cancelRequested) {
@@ -247,8 +247,8 @@
         job->attained += m_now - job->checkpointedAt;
         job->hasCheckpoint = true;
     }
-    if (job->probe && !job->parts.empty()) {
-        m_quarantine.recordProbe(job->parts.front().worker, false, m_now);
+    if (job->probe) {
+        m_quarantine.recordProbe(*job->probe, false, m_now);
     }
     release(*job);
     if (job->cancelRequested) {
@@ -289,8 +289,8 @@
     }
     m_learning.recordRun(job->request, job->attained + (m_now - job->checkpointedAt));
     m_quarantine.recordSuccess(*job, job->parts);
-    if (job->probe && !job->parts.empty() && m_quarantine.contains(job->parts.front().worker)) {
-        const WorkerIndex worker = job->parts.front().worker;
+    if (job->probe && m_quarantine.contains(*job->probe)) {
+        const WorkerIndex worker = *job->probe;
         if (m_quarantine.recordProbe(worker, true, m_now)) {
             m_quarantine.forget(worker);
             m_fleet.setQuarantined(worker, false);
@@ -308,9 +308,8 @@
     const std::optional<WorkerIndex> worker = m_fleet.find(failedOn);
     if (worker) {
         m_quarantine.recordFailure(job, *worker, m_now);
-        if (m_quarantine.contains(*worker)) {
-            m_quarantine.recordProbe(*worker, false, m_now);
-        } else if (std::find(job.avoid.begin(), job.avoid.end(), *worker) == job.avoid.end()) {
+        const bool known = std::find(job.avoid.begin(), job.avoid.end(), *worker) != job.avoid.end();
+        if (!known && !m_quarantine.contains(*worker)) {
             job.avoid.push_back(*worker);
             if (job.avoid.size() > MaximumAvoided) {
                 job.avoid.erase(job.avoid.begin());
@@ -318,6 +317,9 @@
         }
     }
     ++job.failures;
+    if (job.probe) {
+        m_quarantine.recordProbe(*job.probe, worker != job.probe, m_now);
+    }
     release(job);
     if (job.cancelRequested) {
         m_decisions.emplace_back(CancelJob{job.request.id});
@@ -412,7 +414,7 @@
     m_fleet.vacate(job);
     m_active.erase(job.sequence);
     m_assigned.erase(job.sequence);
-    job.probe = false;
+    job.probe.reset();
     job.overSizeSeen = 0;
     job.startedAt = {};
     m_capacityFreed = true;
--- a/lib/Decision/Placement.cpp
+++ b/lib/Decision/Placement.cpp
@@ -20,8 +20,11 @@
 
 bool allowed(const Fleet &fleet, const PlacementRequest &request, WorkerIndex worker)
 {
-    if (request.probe) {
-        return worker == *request.probe && fleet.worker(worker).state == WorkerState::Live;
+    if (request.probe == worker) {
+        return fleet.worker(worker).state == WorkerState::Live;
+    }
+    if (request.probe && request.tasks == 1) {
+        return false;
     }
     if (!fleet.usable(worker) || (request.reserved != nullptr && (*request.reserved)[worker] != 0)) {
         return false;
@@ -115,7 +118,7 @@
         if (best != nullptr && rackPreference(rack) >= rackPreference(*best)) {
             continue;
         }
-        if (!request.freeOf && rack.freeAccelerators < wanted) {
+        if (!request.freeOf && !request.probe && rack.freeAccelerators < wanted) {
             continue;
         }
         std::vector<Room> rooms = roomsOf(fleet, request, &rack, preference);
--- a/lib/Decision/SchedulerImplementation.h
+++ b/lib/Decision/SchedulerImplementation.h
@@ -101,6 +101,8 @@
     bool physicallyFits(const Job &job) const;
     void reserveFor(const Job &job, const Resources &size);
     PlacementRequest requestFor(const Job &job, const Resources &size) const;
+    /** Usable workers that are not in the sorted list @p avoid. */
+    std::vector<const FleetWorker *> usableWorkers(const std::vector<WorkerIndex> &avoid) const;
     double victimCost(const Job &victim, const Job &claimant, bool claim) const;
     bool mayBorrow(const Job &job) const;
     bool claimable(const Job &job) const;
--- a/lib/Decision/SchedulingPass.cpp
+++ b/lib/Decision/SchedulingPass.cpp
@@ -154,9 +154,26 @@
     request.closeness = job.request.closeness;
     request.avoid = job.avoid;
     std::sort(request.avoid.begin(), request.avoid.end());
+    if (!request.avoid.empty()) {
+        // A job must not wait for ever because too few other workers are left.
+        if (!fitsEmpty(usableWorkers(request.avoid), request)) {
+            request.avoid.clear();
+        }
+    }
     return request;
 }
 
+std::vector<const FleetWorker *> Scheduler::Implementation::usableWorkers(const std::vector<WorkerIndex> &avoid) const
+{
+    std::vector<const FleetWorker *> workers;
+    for (WorkerIndex index = 0; index < m_fleet.workers().size(); ++index) {
+        if (m_fleet.usable(index) && !std::binary_search(avoid.begin(), avoid.end(), index)) {
+            workers.push_back(&m_fleet.worker(index));
+        }
+    }
+    return workers;
+}
+
 bool Scheduler::Implementation::mayBorrow(const Job &job) const
 {
     LendingInput input;
@@ -176,7 +193,8 @@
     if (job.notBefore > m_now || !mayBorrow(job)) {
         return false;
     }
-    if (tryProbe(job)) {
+    // A single task probes before it takes a good worker; a gang only when it has no other place.
+    if (job.request.tasks == 1 && tryProbe(job)) {
         return true;
     }
     const Resources size = sizeOf(job);
@@ -187,7 +205,7 @@
     }
     std::optional<GangParts> parts = m_policy.chooseWorkers(m_fleet, request);
     if (!parts) {
-        return false;
+        return job.request.tasks > 1 && tryProbe(job);
     }
     launch(job, size, std::move(*parts), false, {});
     return true;
@@ -195,23 +213,27 @@
 
 bool Scheduler::Implementation::tryProbe(Job &job)
 {
-    if (m_quarantine.size() == 0 || job.request.tasks != 1 || job.request.jobClass == JobClass::Urgent
-        || job.request.deadline != NeverDue || job.failures > 0) {
-        return false;
-    }
     const std::optional<WorkerIndex> worker = m_quarantine.dueForProbe(m_now);
     if (!worker) {
         return false;
     }
     const Resources size = sizeOf(job);
     PlacementRequest request = requestFor(job, size);
+    const bool pressing = job.request.jobClass == JobClass::Urgent || job.request.deadline != NeverDue;
+    // Pressing work is risked on a suspect worker only when it could not run without it.
+    if (pressing && fitsEmpty(usableWorkers({}), request)) {
+        return false;
+    }
     request.probe = worker;
     std::optional<GangParts> parts = m_policy.chooseWorkers(m_fleet, request);
-    if (!parts) {
+    const auto onProbe = [&worker](const GangPart &part) {
+        return part.worker == *worker;
+    };
+    if (!parts || std::none_of(parts->begin(), parts->end(), onProbe)) {
         return false;
     }
     m_quarantine.beginProbe(*worker);
-    job.probe = true;
+    job.probe = worker;
     launch(job, size, std::move(*parts), false, {});
     return true;
 }
--- /dev/null
+++ b/unittests/Decision/GeneratedHistory.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "corianderscale/Decision/Scheduler.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "Decision/ExactPacking.h"
+
+namespace coriander::decision::test {
+
+/** A job as the world outside the scheduler knows it. */
+struct WorldJob {
+    JobRequest request;
+    std::int64_t attempt = 0;
+    GangPlacement placement;
+    bool starting = false;
+    bool running = false;
+    bool stopping = false;
+    bool guaranteed = false;
+    bool terminal = false;
+    bool claimChecked = false;
+    MonotonicTime stopBy = NeverDue;
+    /** When a member was lost while others ran on. */
+    MonotonicTime brokenSince = NeverDue;
+};
+
+/**
+ * A seeded history of one small data centre: joins, failures, drains, borrowed work, preemption, cancellations and
+ * changed guarantees. Plays the workers' part and checks every promise of the library after every step.
+ */
+class GeneratedHistory
+{
+public:
+    explicit GeneratedHistory(std::uint64_t seed);
+
+    /** Takes one step and returns the first broken promise, or no value. */
+    std::optional<std::string> step();
+    /** Lets all work end with all workers back; every accepted job must reach its terminal state. */
+    std::optional<std::string> finish();
+
+private:
+    struct World {
+        bool live = false;
+        bool draining = false;
+        bool quarantined = false;
+    };
+
+    std::int64_t pick(std::int64_t least, std::int64_t most);
+    bool chance(double probability);
+    Event randomEvent();
+    Event randomJob();
+    Event randomOrganisations();
+    std::optional<Event> randomGangEvent();
+    void deliver(const Event &event);
+    void apply(const Decision &decision);
+    void loseWorker(const std::string &id);
+    void checkStart(const StartGang &start);
+    void checkAll();
+    void checkGuarantees();
+    void fail(const std::string &what);
+
+    std::mt19937_64 m_random;
+    Scheduler m_scheduler;
+    MonotonicTime m_now{};
+    std::map<std::string, WorkerSpec> m_specs;
+    std::map<std::string, World> m_workers;
+    std::vector<OrganisationPolicy> m_organisations;
+    std::map<std::string, WorldJob> m_jobs;
+    std::set<std::string> m_impaired;
+    std::int64_t m_nextJob = 0;
+    /** Whether this step may take a guarantee away from a running job. */
+    bool m_mayLend = false;
+    std::map<std::string, bool> m_packable;
+    std::optional<std::string> m_failure;
+};
+
+} // namespace coriander::decision::test
