fuzz: run mutated inputs through every decoder, and fix two faults they found

Cause: documents, settings and messages come from outside. Moving the check into parseYaml() with YAML::LoadAll() then showed that this function appends documents without end on some malformed starts of a document: the test used all memory of the machine and was killed. An operator's malformed document could have done the same to a gateway.

Change: parseYaml() looks for a second document with the event parser, at most two steps, and parses the first one with YAML::Load(). Messages that are accepted must survive being written and read again.

Conclusion: YAML::LoadAll() stays unused.

--- /dev/null
+++ b/fuzz/RoundTrip.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "corianderscale/Protocol/JsonReader.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <string_view>
+
+namespace coriander {
+
+/**
+ * Decodes @p text as a message. A message that is accepted must survive being written and read again; anything else
+ * would change meaning between two of our processes.
+ */
+template<typename Message>
+void checkRoundTrip(std::string_view text)
+{
+    ProtocolError error;
+    const auto message = decodeMessage<Message>(text, error);
+    if (!message) {
+        if (error.reason.empty()) {
+            std::cerr << "a refused message has no reason\n";
+            std::abort();
+        }
+        return;
+    }
+    const std::string once = encodeMessage(*message);
+    const auto again = decodeMessage<Message>(std::string_view(once), error);
+    if (!again || encodeMessage(*again) != once) {
+        std::cerr << "an accepted message does not survive the wire: " << once << ' ' << error.reason << '\n';
+        std::abort();
+    }
+}
+
+} // namespace coriander
--- a/lib/State/DocumentParser.cpp
+++ b/lib/State/DocumentParser.cpp
@@ -209,18 +209,6 @@
     Names m_digests;
 };
 
-/** Whether the text holds one YAML document; the parser would silently ignore further ones. */
-bool holdsOneDocument(const std::string &content, const std::string &file, std::vector<YamlFault> &faults)
-{
-    const std::vector<YAML::Node> documents = YAML::LoadAll(content);
-    if (documents.size() == 1) {
-        return true;
-    }
-    const YAML::Mark mark = documents[1].Mark();
-    faults.push_back({file, mark.line + 1, mark.column + 1, {}, "expected one YAML document in the file"});
-    return false;
-}
-
 } // namespace
 
 std::optional<Document> parseDocument(const std::string &content,
@@ -233,7 +221,7 @@
         return std::nullopt;
     }
     const std::optional<YAML::Node> root = parseYaml(content, file, faults);
-    if (!root || !holdsOneDocument(content, file, faults) || !checkYamlStructure(*root, file, faults)) {
+    if (!root || !checkYamlStructure(*root, file, faults)) {
         return std::nullopt;
     }
     Document document = DocumentParser(file, faults).read(*root);
--- a/lib/Support/YamlReader.cpp
+++ b/lib/Support/YamlReader.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <yaml-cpp/eventhandler.h>
 
 #include <algorithm>
 #include <fstream>
@@ -11,6 +12,52 @@
 
 namespace coriander {
 
+namespace {
+
+/** Remembers where the last document started and ignores everything else. */
+class DocumentCounter : public YAML::EventHandler
+{
+public:
+    void OnDocumentStart(const YAML::Mark &mark) override
+    {
+        m_start = mark;
+    }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnAlias(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnScalar(const YAML::Mark &, const std::string &, YAML::anchor_t, const std::string &) override { }
+    void OnSequenceStart(const YAML::Mark &, const std::string &, YAML::anchor_t, YAML::EmitterStyle::value) override {
+    }
+    void OnSequenceEnd() override { }
+    void OnMapStart(const YAML::Mark &, const std::string &, YAML::anchor_t, YAML::EmitterStyle::value) override { }
+    void OnMapEnd() override { }
+
+    YAML::Mark start() const
+    {
+        return m_start;
+    }
+
+private:
+    YAML::Mark m_start;
+};
+
+/**
+ * Returns where a second YAML document starts, because YAML::Load() silently ignores it. YAML::LoadAll() is not used:
+ * on some malformed input it adds empty documents until the memory is used up.
+ */
+std::optional<YAML::Mark> secondDocument(const std::string &content)
+{
+    std::istringstream stream(content);
+    YAML::Parser parser(stream);
+    DocumentCounter counter;
+    if (!parser.HandleNextDocument(counter) || !parser.HandleNextDocument(counter)) {
+        return std::nullopt;
+    }
+    return counter.start();
+}
+
+} // namespace
+
 std::string YamlFault::toString() const
 {
     if (key.empty()) {
@@ -205,6 +252,11 @@
 std::optional<YAML::Node> parseYaml(const std::string &content, const std::string &file, std::vector<YamlFault> &faults)
 {
     try {
+        if (const std::optional<YAML::Mark> second = secondDocument(content)) {
+            faults.push_back(
+                {file, second->line + 1, second->column + 1, {}, "expected one YAML document in the file"});
+            return std::nullopt;
+        }
         YAML::Node root = YAML::Load(content);
         if (!root.IsMap()) {
             faults.push_back({file, 1, 1, {}, "expected a map of keys and values at the top of the file"});
--- a/unittests/Support/YamlReaderTest.cpp
+++ b/unittests/Support/YamlReaderTest.cpp
@@ -43,5 +43,16 @@
     EXPECT_GT(faults[0].line, 0);
 }
 
+// Guards against an exception and against unbounded memory, both found by fuzzing, when a file holds further YAML
+// documents or a malformed start of one.
+TEST(YamlReader, reportsFaultsOfFurtherDocuments)
+{
+    for (const char *text : {"a: 1\n---\nb: 2\n", "a: 1\n---\nb: [\n", "a: 1\n--- x: y: z\n", ""}) {
+        std::vector<YamlFault> faults;
+        EXPECT_FALSE(parseYaml(text, "s.yaml", faults)) << text;
+        EXPECT_EQ(faults.size(), 1U) << text;
+    }
+}
+
 } // namespace
 } // namespace coriander
