--- a/include/corianderscale/Gateway/CounterCopies.h
+++ b/include/corianderscale/Gateway/CounterCopies.h
@@ -27,8 +27,8 @@
     /** Writes the copies of gateways for which @p isDead holds into the table. Call now and then. */
     void restore(const std::function<bool(const InstanceId &)> &isDead);
 
-    /** Forgets the copies of a gateway that lives and has the store back. */
-    void forget(const InstanceId &gateway);
+    /** Forgets copies whose counts are in the table by now. Call now and then; reads each row once a minute. */
+    void forgetCovered();
 
     std::size_t size() const;
 
@@ -36,10 +36,11 @@
     struct Copy {
         CountsRecord record;
         bool restoring = false;
+        MonotonicTime checkAt{};
     };
 
-    void startRestore(const std::string &key);
-    void onRead(const std::string &key, const std::optional<TableRows> &rows);
+    void readRow(const std::string &key, std::function<void(Copy &, const std::optional<TableRows> &)> done);
+    void write(const std::string &key, Copy &copy, const std::optional<TableRows> &rows);
 
     GatewayHooks &m_hooks;
     Store &m_store;
--- /dev/null
+++ b/include/corianderscale/Gateway/EndpointPoller.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "corianderscale/Gateway/EndpointDirectory.h"
+#include "corianderscale/Gateway/GatewayHooks.h"
+
+#include <functional>
+#include <map>
+
+namespace coriander {
+
+/**
+ * Asks every listed endpoint what it is, once per interval, at times that differ from endpoint to endpoint.
+ *
+ * Thread safety: the gateway's thread.
+ */
+class EndpointPoller
+{
+public:
+    using Leaving = std::function<void(const EndpointId &, const InstanceId &)>;
+
+    EndpointPoller(GatewayHooks &hooks, EndpointDirectory &directory, Duration interval, Leaving leaving);
+
+    /** Asks the endpoints that are due. */
+    void poll();
+
+    /** Called after each answer; slots may have become usable. */
+    void setAnsweredHook(std::function<void()> answered);
+
+private:
+    void ask(const EndpointEntry &endpoint);
+    void onAnswer(const EndpointId &endpoint, const std::optional<HttpResponse> &response);
+
+    GatewayHooks &m_hooks;
+    EndpointDirectory &m_directory;
+    Duration m_interval;
+    Leaving m_leaving;
+    std::function<void()> m_answered;
+    std::map<EndpointId, MonotonicTime> m_due;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Gateway/GatewayCore.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "corianderscale/Daemon/CommonSettings.h"
+#include "corianderscale/Gateway/CallerApi.h"
+#include "corianderscale/Gateway/EndpointPoller.h"
+#include "corianderscale/Gateway/GatewayPeers.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** Settings of the gateway. */
+struct GatewaySettings {
+    CommonSettings common;
+    AdmissionLimits queue;
+    Duration pollInterval = std::chrono::seconds(2);
+};
+
+/** Numbers for metrics. */
+struct GatewayNumbers {
+    std::size_t queuedUrgent = 0;
+    std::size_t queuedNormal = 0;
+    std::size_t queuedBackground = 0;
+    std::size_t inProgress = 0;
+    std::size_t activeClaims = 0;
+    std::size_t uncommittedCounts = 0;
+    std::int64_t unprotectedReleases = 0;
+    std::size_t counterCopies = 0;
+    std::int64_t sends = 0;
+    std::int64_t slotFullSends = 0;
+    std::int64_t usableEndpoints = 0;
+    std::int64_t ejectedEndpoints = 0;
+};
+
+/**
+ * All parts of the gateway put together, without threads, sockets or clocks of their own.
+ *
+ * Thread safety: the gateway's thread.
+ */
+class GatewayCore
+{
+public:
+    /** @p retries and @p admit are the site's retry budget and limits. */
+    GatewayCore(GatewaySettings settings,
+                GatewayHooks hooks,
+                Store &store,
+                SendPeer sendPeer,
+                RetryGate retries,
+                std::function<std::optional<ErrorBody>(const CallerKey &)> admit);
+    GatewayCore(const GatewayCore &) = delete;
+    GatewayCore &operator=(const GatewayCore &) = delete;
+
+    CallerApi &api();
+    GatewayPeers &peers();
+
+    void setDocument(const std::shared_ptr<const Document> &document);
+    void setVms(const VmList &vms);
+    void setMembers(std::vector<Member> members);
+
+    /** Does what is due; call every 50 to 100 ms. */
+    void tick();
+
+    /** Takes no new work from now on. */
+    void beginDrain();
+    /** Whether every request and call has been answered. */
+    bool drained() const;
+    /** Closes the counters; calls @p done with whether all counts are in the table. */
+    void closeCounters(std::function<void(bool)> done);
+
+    GatewayNumbers numbers() const;
+    const EndpointDirectory &endpoints() const;
+
+private:
+    GatewaySettings m_settings;
+    GatewayHooks m_hooks;
+    RetryGate m_retries;
+    EndpointDirectory m_directory;
+    ServiceTiming m_timing;
+    Router m_router;
+    Dispatcher m_dispatcher;
+    AttemptSender m_sender;
+    RequestRecords m_records;
+    CounterCopies m_copies;
+    GatewayPeers m_peers;
+    RequestCounters m_counters;
+    RequestService m_requests;
+    JobService m_jobs;
+    CallerApi m_api;
+    EndpointPoller m_poller;
+    Store &m_store;
+    MonotonicTime m_housekeepingAt{};
+};
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Gateway/GatewayLoop.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "corianderscale/Gateway/GatewayHooks.h"
+#include "corianderscale/Transport/BoundedRing.h"
+#include "corianderscale/Transport/DutyThread.h"
+
+#include <functional>
+#include <memory>
+
+namespace coriander {
+
+/**
+ * The gateway's thread: runs posted tasks, timers and a regular tick.
+ *
+ * Thread safety: post() and accepts() from any thread; at() on the gateway's thread only.
+ */
+class GatewayLoop
+{
+public:
+    GatewayLoop(Clock clock, Duration tickInterval, std::function<void()> tick);
+    /** Stops the thread; tasks that have not run are dropped. */
+    ~GatewayLoop();
+    GatewayLoop(const GatewayLoop &) = delete;
+    GatewayLoop &operator=(const GatewayLoop &) = delete;
+
+    void start();
+    void stop();
+
+    /** Whether there is room for new work; completions of earlier work are posted regardless. */
+    bool accepts() const;
+
+    /** Runs a task on the gateway's thread. Waits for room in the ring, which the thread never waits for. */
+    void post(std::function<void()> task);
+
+    /** Runs a task and waits for it. Precondition: not called on the gateway's thread; the loop runs. */
+    void postAndWait(const std::function<void()> &task);
+
+    void at(MonotonicTime due, std::function<void()> task);
+
+private:
+    void step();
+
+    Clock m_clock;
+    Duration m_tickInterval;
+    std::function<void()> m_tick;
+    MonotonicTime m_tickAt{};
+    BoundedRing<std::function<void()>> m_ring;
+    TimerQueue m_timers;
+    std::unique_ptr<DutyThread> m_thread;
+};
+
+} // namespace coriander
--- a/lib/Gateway/CounterCopies.cpp
+++ b/lib/Gateway/CounterCopies.cpp
@@ -1,7 +1,10 @@
 #include "corianderscale/Gateway/CounterCopies.h"
 
+#include "corianderscale/Gateway/CountsMerge.h"
 #include "corianderscale/Support/Log.h"
 
+#include <algorithm>
+
 namespace coriander {
 
 namespace {
@@ -10,6 +13,13 @@
 constexpr std::size_t OperationBytes = 16;
 /** Two days of the gateways of a large site. */
 constexpr std::size_t MaximumCopies = 256;
+constexpr Duration CheckInterval = std::chrono::minutes(1);
+
+std::optional<CountsRecord> decodeRow(const TableRow &row)
+{
+    ProtocolError error;
+    return row.version == RowVersion(0) ? std::nullopt : decodeMessage<CountsRecord>(row.value, error);
+}
 
 } // namespace
 
@@ -29,9 +39,7 @@
     held.day = record.day;
     held.gateway = record.gateway;
     held.flushedUnixMs = std::max(held.flushedUnixMs, record.flushedUnixMs);
-    for (const auto &[caller, counts] : record.counts) {
-        held.counts[caller].mergeLarger(counts);
-    }
+    mergeCounts(held, record);
     return true;
 }
 
@@ -40,38 +48,34 @@
     for (auto &[key, copy] : m_copies) {
         if (!copy.restoring && isDead(copy.record.gateway)) {
             copy.restoring = true;
-            startRestore(key);
+            readRow(key, [this, key](Copy &held, const std::optional<TableRows> &rows) { write(key, held, rows); });
         }
     }
 }
 
-void CounterCopies::startRestore(const std::string &key)
+void CounterCopies::readRow(const std::string &key, std::function<void(Copy &, const std::optional<TableRows> &)> done)
 {
     m_store.read({key},
                  m_hooks.clock.now() + StoreCallLimit,
-                 [this, key](std::optional<TableRows> rows, const CoordinationError &) {
-                     m_hooks.post([this, key, rows = std::move(rows)] { onRead(key, rows); });
+                 [this, key, done = std::move(done)](std::optional<TableRows> rows, const CoordinationError &) {
+                     m_hooks.post([this, key, done, rows = std::move(rows)] {
+                         if (const auto found = m_copies.find(key); found != m_copies.end()) {
+                             done(found->second, rows);
+                         }
+                     });
                  });
 }
 
-void CounterCopies::onRead(const std::string &key, const std::optional<TableRows> &rows)
+void CounterCopies::write(const std::string &key, Copy &copy, const std::optional<TableRows> &rows)
 {
-    const auto found = m_copies.find(key);
-    if (found == m_copies.end()) {
-        return;
-    }
     if (!rows || rows->rows.empty()) {
-        found->second.restoring = false;
+        copy.restoring = false;
         return;
     }
     const TableRow &row = rows->rows.front();
-    CountsRecord merged = found->second.record;
-    ProtocolError error;
-    if (const auto stored
-        = row.version == RowVersion(0) ? std::nullopt : decodeMessage<CountsRecord>(row.value, error)) {
-        for (const auto &[caller, counts] : stored->counts) {
-            merged.counts[caller].mergeLarger(counts);
-        }
+    CountsRecord merged = copy.record;
+    if (const auto stored = decodeRow(row)) {
+        mergeCounts(merged, *stored);
     }
     merged.closed = true;
     TableTransaction transaction;
@@ -92,11 +96,21 @@
                    });
 }
 
-void CounterCopies::forget(const InstanceId &gateway)
+void CounterCopies::forgetCovered()
 {
-    std::erase_if(m_copies, [&gateway](const auto &item) {
-        return item.second.record.gateway == gateway && !item.second.restoring;
-    });
+    const MonotonicTime now = m_hooks.clock.now();
+    for (auto &[key, copy] : m_copies) {
+        if (copy.restoring || now < copy.checkAt) {
+            continue;
+        }
+        copy.checkAt = now + CheckInterval;
+        readRow(key, [this, key](const Copy &held, const std::optional<TableRows> &rows) {
+            const auto stored = rows && !rows->rows.empty() ? decodeRow(rows->rows.front()) : std::nullopt;
+            if (!held.restoring && stored && countsCover(*stored, held.record)) {
+                m_copies.erase(key);
+            }
+        });
+    }
 }
 
 std::size_t CounterCopies::size() const
--- a/lib/Gateway/RequestCounters.cpp
+++ b/lib/Gateway/RequestCounters.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Gateway/RequestCounters.h"
 
+#include "corianderscale/Gateway/CountsMerge.h"
 #include "corianderscale/Support/Log.h"
 
 #include <algorithm>
@@ -37,17 +38,6 @@
     }
 }
 
-/** Whether @p stored holds at least the counts of @p own, element by element. */
-bool covers(const CountsRecord &stored, const CountsRecord &own)
-{
-    return std::all_of(own.counts.begin(), own.counts.end(), [&stored](const auto &item) {
-        const auto found = stored.counts.find(item.first);
-        ItemCounts merged = found == stored.counts.end() ? ItemCounts() : found->second;
-        merged.mergeLarger(item.second);
-        return found != stored.counts.end() && merged == found->second;
-    });
-}
-
 } // namespace
 
 RequestCounters::RequestCounters(
@@ -186,10 +176,8 @@
     ProtocolError error;
     const auto stored = row.version == RowVersion(0) ? std::nullopt : decodeMessage<CountsRecord>(row.value, error);
     if (stored) {
-        for (const auto &[caller, counts] : stored->counts) {
-            day.record.counts[caller].mergeLarger(counts);
-        }
-        if (covers(*stored, day.record) && stored->closed == day.closing) {
+        mergeCounts(day.record, *stored);
+        if (countsCover(*stored, day.record) && stored->closed == day.closing) {
             day.committedSequence = day.sequence;
             day.closedInTable = stored->closed;
             release(day, day.sequence);
