transport: add authenticated peer streams over nghttp2

Cause: gateways and schedulers have to talk to each other directly. Change: one poll loop thread serves all connections. A message that was not given to a connection fails as unreachable, later ones as broken or timed out.

--- /dev/null
+++ b/include/corianderscale/Transport/PeerLoop.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "corianderscale/Transport/PeerSession.h"
+#include "corianderscale/Transport/PeerSocket.h"
+
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** A message on its way to a peer. */
+struct PeerRequest {
+    std::string address;
+    std::string message;
+    std::string body;
+    MonotonicTime deadline;
+    PeerReply done;
+
+    /** Set when the message was given to a connection; before that nothing has been sent. */
+    std::int32_t stream = -1;
+    MonotonicTime sentAt;
+
+    /** Calls the completion unless it has been called. */
+    void finish(std::optional<std::string> reply, const TransportError &error);
+};
+
+/** One socket with its session. */
+struct PeerConnection {
+    FileDescriptor socket;
+    /** The peer's address for own connections; empty for accepted ones. */
+    std::string address;
+    std::unique_ptr<PeerSession> session;
+    std::string output;
+    bool connecting = false;
+    MonotonicTime openedAt;
+    MonotonicTime receivedAt;
+    MonotonicTime usedAt;
+    /** Messages that wait for the handshake, and messages that wait for their reply. */
+    std::list<std::shared_ptr<PeerRequest>> waiting;
+    std::list<std::shared_ptr<PeerRequest>> inFlight;
+};
+
+/**
+ * The connections of PeerStreams and one pass over them. Thread safety: push() and traffic() from any thread, the rest
+ * from the thread of the streams.
+ */
+class PeerLoop
+{
+public:
+    PeerLoop(PeerStreams::Settings settings, Clock clock, PeerHandler handler);
+    /** Closes all connections and fails all messages. */
+    ~PeerLoop();
+    PeerLoop(const PeerLoop &) = delete;
+    PeerLoop &operator=(const PeerLoop &) = delete;
+
+    /** Opens the port. */
+    bool listen(TransportError &error);
+
+    /** Hands a message to the loop and wakes it. */
+    void push(std::shared_ptr<PeerRequest> request);
+
+    /** Wakes the loop. */
+    void wake();
+
+    /** Waits for something to do, at most a bounded time, and does it. */
+    void step();
+
+    PeerTraffic traffic() const;
+
+private:
+    using Connection = std::shared_ptr<PeerConnection>;
+
+    void takePushed();
+    void start(const std::shared_ptr<PeerRequest> &request);
+    Connection connectionTo(const std::string &address, TransportError &error);
+    std::unique_ptr<PeerSession> makeSession(PeerSide side);
+    int pollTimeout() const;
+    void acceptAll();
+    void handle(const Connection &connection, short events);
+    bool readAll(const Connection &connection);
+    bool writeAll(const Connection &connection);
+    void submitWaiting(const Connection &connection);
+    void expire();
+    bool expireRequests(const Connection &connection, MonotonicTime now);
+    bool connectionOverdue(const Connection &connection, MonotonicTime now) const;
+    /** Takes its own reference, because it removes the connection from the lists. */
+    void close(Connection connection, const TransportError &error);
+
+    PeerStreams::Settings m_settings;
+    Clock m_clock;
+    PeerHandler m_handler;
+    FileDescriptor m_listener;
+    FileDescriptor m_wake;
+    MonotonicTime m_acceptFrom;
+    std::vector<Connection> m_accepted;
+    std::map<std::string, Connection> m_opened;
+    std::mutex m_mutex;
+    std::vector<std::shared_ptr<PeerRequest>> m_pushed;
+    std::atomic<std::int64_t> m_bytesSent = 0;
+    std::atomic<std::int64_t> m_bytesReceived = 0;
+};
+
+} // namespace coriander
--- a/include/corianderscale/Transport/PeerStreams.h
+++ b/include/corianderscale/Transport/PeerStreams.h
@@ -48,7 +48,7 @@
 
     /** @p handler runs on the thread of the streams. */
     PeerStreams(Settings settings, Clock clock, PeerHandler handler);
-    /** Closes all connections. */
+    /** Closes all connections. Open messages fail on the calling thread. */
     ~PeerStreams();
     PeerStreams(const PeerStreams &) = delete;
     PeerStreams &operator=(const PeerStreams &) = delete;
--- /dev/null
+++ b/lib/Transport/PeerLoop.cpp
@@ -0,0 +1,381 @@
+#include "corianderscale/Transport/PeerLoop.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+#include <cstring>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace coriander {
+
+namespace {
+
+/** Connecting and the handshake together take at most this long. */
+constexpr Duration HandshakeTime = std::chrono::seconds(3);
+
+/** A connection without messages is closed: sooner by the side that opened it, so that its messages meet no close. */
+constexpr Duration ClientIdleTime = std::chrono::seconds(120);
+constexpr Duration ServerIdleTime = std::chrono::seconds(300);
+
+/** Pause of accepting when the process has no descriptors left. */
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
+
+/** Messages to one address that wait or are in flight. */
+constexpr std::size_t MaximumRequestsPerPeer = 1024;
+
+/** Output is taken from a session in pieces of about this size. */
+constexpr std::size_t OutputBytes = 128 * 1024;
+
+/** The loop looks for deadlines this often while there are messages, and more rarely without. */
+constexpr int BusyPollMs = 50;
+constexpr int IdlePollMs = 500;
+
+} // namespace
+
+void PeerRequest::finish(std::optional<std::string> reply, const TransportError &error)
+{
+    if (done) {
+        std::exchange(done, {})(std::move(reply), error);
+    }
+}
+
+PeerLoop::PeerLoop(PeerStreams::Settings settings, Clock clock, PeerHandler handler)
+    : m_settings(std::move(settings))
+    , m_clock(std::move(clock))
+    , m_handler(std::move(handler))
+    , m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+}
+
+PeerLoop::~PeerLoop()
+{
+    const TransportError stopped{TransportCode::Broken, "the peer streams have been stopped"};
+    takePushed();
+    while (!m_opened.empty()) {
+        close(m_opened.begin()->second, stopped);
+    }
+    while (!m_accepted.empty()) {
+        close(m_accepted.back(), stopped);
+    }
+    // Completions of the closed connections may have sent further messages.
+    for (const auto &request : m_pushed) {
+        request->finish(std::nullopt, {TransportCode::Unreachable, stopped.reason});
+    }
+}
+
+bool PeerLoop::listen(TransportError &error)
+{
+    m_listener = listenSocket(m_settings.listenAddress, error);
+    return m_listener.valid();
+}
+
+void PeerLoop::push(std::shared_ptr<PeerRequest> request)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_pushed.push_back(std::move(request));
+    }
+    wake();
+}
+
+void PeerLoop::wake()
+{
+    const std::uint64_t one = 1;
+    static_cast<void>(!write(m_wake.get(), &one, sizeof one));
+}
+
+PeerTraffic PeerLoop::traffic() const
+{
+    return {m_bytesSent.load(), m_bytesReceived.load()};
+}
+
+void PeerLoop::step()
+{
+    std::vector<Connection> connections = m_accepted;
+    for (const auto &[address, connection] : m_opened) {
+        connections.push_back(connection);
+    }
+    const bool accepting = m_listener.valid() && m_clock.now() >= m_acceptFrom;
+    std::vector<pollfd> descriptors;
+    descriptors.push_back({m_wake.get(), POLLIN, 0});
+    descriptors.push_back({accepting ? m_listener.get() : -1, POLLIN, 0});
+    for (const Connection &connection : connections) {
+        const bool writing = connection->connecting || !connection->output.empty();
+        descriptors.push_back({connection->socket.get(), static_cast<short>(writing ? POLLIN | POLLOUT : POLLIN), 0});
+    }
+    poll(descriptors.data(), descriptors.size(), pollTimeout());
+    std::uint64_t count = 0;
+    static_cast<void>(!read(m_wake.get(), &count, sizeof count));
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        if (descriptors[i + 2].revents != 0) {
+            handle(connections[i], descriptors[i + 2].revents);
+        }
+    }
+    if (descriptors[1].revents != 0) {
+        acceptAll();
+    }
+    takePushed();
+    expire();
+}
+
+int PeerLoop::pollTimeout() const
+{
+    const bool busy = std::any_of(m_opened.begin(), m_opened.end(), [](const auto &entry) {
+        return !entry.second->waiting.empty() || !entry.second->inFlight.empty();
+    });
+    return busy ? BusyPollMs : IdlePollMs;
+}
+
+void PeerLoop::takePushed()
+{
+    std::vector<std::shared_ptr<PeerRequest>> pushed;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        pushed.swap(m_pushed);
+    }
+    for (const auto &request : pushed) {
+        start(request);
+    }
+}
+
+void PeerLoop::start(const std::shared_ptr<PeerRequest> &request)
+{
+    if (request->body.size() > m_settings.maximumMessageBytes) {
+        request->finish(std::nullopt, {TransportCode::LimitExceeded, "the message is larger than the peers allow"});
+        return;
+    }
+    TransportError error;
+    const Connection connection = connectionTo(request->address, error);
+    if (!connection) {
+        request->finish(std::nullopt, error);
+        return;
+    }
+    if (connection->waiting.size() + connection->inFlight.size() >= MaximumRequestsPerPeer) {
+        request->finish(std::nullopt, {TransportCode::LimitExceeded, "too many messages to one peer; try later"});
+        return;
+    }
+    connection->waiting.push_back(request);
+    if (!connection->connecting) {
+        submitWaiting(connection);
+        if (!writeAll(connection)) {
+            close(connection, connection->session->failure());
+        }
+    }
+}
+
+PeerLoop::Connection PeerLoop::connectionTo(const std::string &address, TransportError &error)
+{
+    const auto known = m_opened.find(address);
+    if (known != m_opened.end()) {
+        return known->second;
+    }
+    FileDescriptor socket = connectSocket(address, error);
+    if (!socket.valid()) {
+        return nullptr;
+    }
+    auto connection = std::make_shared<PeerConnection>();
+    connection->socket = std::move(socket);
+    connection->address = address;
+    connection->session = makeSession(PeerSide::Client);
+    connection->connecting = true;
+    connection->openedAt = connection->receivedAt = connection->usedAt = m_clock.now();
+    m_opened.emplace(address, connection);
+    return connection;
+}
+
+std::unique_ptr<PeerSession> PeerLoop::makeSession(PeerSide side)
+{
+    return std::make_unique<PeerSession>(
+        PeerSession::Settings{side, m_settings.instance, m_settings.key, m_settings.maximumMessageBytes}, m_handler);
+}
+
+void PeerLoop::acceptAll()
+{
+    for (;;) {
+        FileDescriptor socket = acceptSocket(m_listener);
+        if (!socket.valid()) {
+            if (errno == EMFILE || errno == ENFILE) {
+                m_acceptFrom = m_clock.now() + AcceptPause;
+                logEvent(LogLevel::Warning, "peer-accept-failed", {{"reason", "no file descriptors left"}});
+            }
+            return;
+        }
+        if (m_accepted.size() >= m_settings.maximumConnections) {
+            continue;
+        }
+        auto connection = std::make_shared<PeerConnection>();
+        connection->socket = std::move(socket);
+        connection->session = makeSession(PeerSide::Server);
+        connection->openedAt = connection->receivedAt = connection->usedAt = m_clock.now();
+        m_accepted.push_back(std::move(connection));
+    }
+}
+
+void PeerLoop::handle(const Connection &connection, short events)
+{
+    if (connection->connecting) {
+        const int result = connectResult(connection->socket);
+        if (result != 0) {
+            close(connection, {TransportCode::Unreachable, connection->address + ": " + std::strerror(result)});
+            return;
+        }
+        if ((events & POLLOUT) == 0) {
+            return;
+        }
+        connection->connecting = false;
+    }
+    const bool open = readAll(connection);
+    submitWaiting(connection);
+    const bool writable = writeAll(connection);
+    if (!open || !writable) {
+        close(connection, connection->session->failure());
+    }
+}
+
+bool PeerLoop::readAll(const Connection &connection)
+{
+    std::string bytes;
+    SocketProgress progress = readSocket(connection->socket, bytes);
+    while (progress == SocketProgress::Done) {
+        m_bytesReceived += static_cast<std::int64_t>(bytes.size());
+        connection->receivedAt = connection->usedAt = m_clock.now();
+        if (!connection->session->receive(bytes)) {
+            return false;
+        }
+        progress = readSocket(connection->socket, bytes);
+    }
+    return progress == SocketProgress::WouldBlock;
+}
+
+bool PeerLoop::writeAll(const Connection &connection)
+{
+    for (;;) {
+        const bool alive = connection->session->produce(connection->output, OutputBytes);
+        if (connection->output.empty()) {
+            return alive;
+        }
+        const std::size_t before = connection->output.size();
+        const SocketProgress progress = writeSocket(connection->socket, connection->output);
+        m_bytesSent += static_cast<std::int64_t>(before - connection->output.size());
+        if (progress == SocketProgress::Closed || !alive) {
+            return false;
+        }
+        if (progress == SocketProgress::WouldBlock) {
+            return true;
+        }
+    }
+}
+
+void PeerLoop::submitWaiting(const Connection &connection)
+{
+    if (connection->address.empty() || !connection->session->authenticated()) {
+        return;
+    }
+    while (!connection->waiting.empty()) {
+        const std::shared_ptr<PeerRequest> request = connection->waiting.front();
+        connection->waiting.pop_front();
+        request->sentAt = connection->usedAt = m_clock.now();
+        const std::weak_ptr<PeerConnection> weak = connection;
+        request->stream = connection->session->request(
+            request->message,
+            std::move(request->body),
+            [request, weak](std::optional<std::string> reply, const TransportError &error) {
+                if (const auto open = weak.lock()) {
+                    open->inFlight.remove(request);
+                }
+                request->finish(std::move(reply), error);
+            });
+        if (request->stream < 0) {
+            request->finish(std::nullopt, {TransportCode::Unreachable, "the connection has no streams left"});
+        } else {
+            connection->inFlight.push_back(request);
+        }
+    }
+}
+
+void PeerLoop::expire()
+{
+    const MonotonicTime now = m_clock.now();
+    std::vector<Connection> connections = m_accepted;
+    for (const auto &[address, connection] : m_opened) {
+        connections.push_back(connection);
+    }
+    for (const Connection &connection : connections) {
+        if (expireRequests(connection, now)) {
+            close(connection, {TransportCode::Broken, "the peer has stopped answering"});
+        } else if (connectionOverdue(connection, now)) {
+            close(connection, {TransportCode::Unreachable, "the connection was not established in time or is idle"});
+        }
+    }
+}
+
+/** Fails late messages; returns whether the peer has said nothing since one of them was sent. */
+bool PeerLoop::expireRequests(const Connection &connection, MonotonicTime now)
+{
+    std::vector<std::shared_ptr<PeerRequest>> late;
+    for (auto *list : {&connection->waiting, &connection->inFlight}) {
+        for (auto request = list->begin(); request != list->end();) {
+            if ((*request)->deadline <= now) {
+                late.push_back(*request);
+                request = list->erase(request);
+            } else {
+                ++request;
+            }
+        }
+    }
+    bool silent = false;
+    for (const auto &request : late) {
+        if (request->stream < 0) {
+            request->finish(std::nullopt,
+                            {TransportCode::Unreachable, "no connection to the peer before the deadline"});
+            continue;
+        }
+        silent = silent || connection->receivedAt <= request->sentAt;
+        connection->session->cancel(request->stream);
+        request->finish(std::nullopt, {TransportCode::Timeout, "no reply before the deadline"});
+    }
+    if (!late.empty() && !connection->connecting && !writeAll(connection)) {
+        return true;
+    }
+    return silent;
+}
+
+bool PeerLoop::connectionOverdue(const Connection &connection, MonotonicTime now) const
+{
+    if (connection->connecting || !connection->session->authenticated()) {
+        return now - connection->openedAt > HandshakeTime;
+    }
+    const bool idle = connection->waiting.empty() && connection->inFlight.empty();
+    const Duration most = connection->address.empty() ? ServerIdleTime : ClientIdleTime;
+    return idle && now - connection->usedAt > most;
+}
+
+void PeerLoop::close(Connection connection, const TransportError &error)
+{
+    if (connection->address.empty()) {
+        m_accepted.erase(std::remove(m_accepted.begin(), m_accepted.end(), connection), m_accepted.end());
+        if (error.code == TransportCode::Unauthenticated) {
+            logEvent(LogLevel::Warning, "peer-rejected", {{"reason", error.reason}});
+        }
+        return;
+    }
+    const auto known = m_opened.find(connection->address);
+    if (known != m_opened.end() && known->second == connection) {
+        m_opened.erase(known);
+    }
+    const bool rejected = error.code == TransportCode::Unauthenticated;
+    const std::string reason = error.reason.empty() ? "the peer closed the connection" : error.reason;
+    // Messages that were not given to the session have not been sent.
+    auto waiting = std::exchange(connection->waiting, {});
+    for (const auto &request : waiting) {
+        request->finish(std::nullopt, {rejected ? error.code : TransportCode::Unreachable, reason});
+    }
+    auto inFlight = std::exchange(connection->inFlight, {});
+    for (const auto &request : inFlight) {
+        request->finish(std::nullopt, {TransportCode::Broken, reason});
+    }
+}
+
+} // namespace coriander
