--- a/include/corianderscale/Gateway/CounterCopies.h
+++ b/include/corianderscale/Gateway/CounterCopies.h
@@ -21,8 +21,8 @@
 public:
     CounterCopies(GatewayHooks &hooks, Store &store);
 
-    /** Takes a copy; returns false when too many are held. */
-    bool hold(const CountsRecord &record);
+    /** Takes a copy. Beyond the bound, the copy that was refreshed longest ago is dropped. */
+    void hold(const CountsRecord &record);
 
     /** Writes the copies of gateways for which @p isDead holds into the table. Call now and then. */
     void restore(const std::function<bool(const InstanceId &)> &isDead);
--- /dev/null
+++ b/include/corianderscale/Gateway/DocumentPoller.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "corianderscale/Coordination/Store.h"
+#include "corianderscale/Gateway/GatewayHooks.h"
+#include "corianderscale/Protocol/Records.h"
+#include "corianderscale/State/Document.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace coriander {
+
+/**
+ * Reads the head of an environment's document every 2 s and hands out each newer version.
+ *
+ * Thread safety: the gateway's thread.
+ */
+class DocumentPoller
+{
+public:
+    using Found = std::function<void(DocumentVersion, std::shared_ptr<const Document>)>;
+
+    DocumentPoller(GatewayHooks &hooks, Store &store, std::string environment, Found found);
+
+    /** Reads now and then again every 2 s. */
+    void poll();
+
+private:
+    void readVersion(const DocumentHead &head);
+    void onText(const DocumentHead &head, const std::optional<TableRows> &rows);
+
+    GatewayHooks &m_hooks;
+    Store &m_store;
+    std::string m_environment;
+    Found m_found;
+    DocumentVersion m_version;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Gateway/GatewayDaemon.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "corianderscale/Gateway/GatewayCore.h"
+#include "corianderscale/Support/YamlReader.h"
+
+namespace coriander {
+
+/**
+ * Reads the settings of the gateway: the common ones, `maximum_queued`, `maximum_queued_per_caller`,
+ * `endpoint_poll_ms` and `announce`.
+ */
+struct GatewayDaemonSettings {
+    GatewaySettings gateway;
+    /** Whether the gateway announces its VM to the platform; for stand-ins, which do not know their VMs. */
+    bool announce = false;
+
+    static GatewayDaemonSettings read(YamlMap &settings);
+};
+
+/** Runs the gateway until a shutdown signal; returns an exit code. */
+int runGateway(const GatewayDaemonSettings &settings);
+
+} // namespace coriander
--- a/include/corianderscale/Gateway/GatewayPeers.h
+++ b/include/corianderscale/Gateway/GatewayPeers.h
@@ -54,8 +54,14 @@
     /** Sends a copy of counters to two gateways; reports how many hold it. */
     void copyCounters(const CountsRecord &record, std::function<void(int)> done);
 
-    /** Handles a message of a peer; returns the reply's body, or no value when the message is not one of these. */
-    std::optional<std::string> handle(const std::string &message, const std::string &body);
+    /** Takes a message of a peer. Messages that are not of the gateway are ignored. */
+    void handle(const std::string &message, const std::string &body);
+
+    /**
+     * The reply to a message of a peer that handle() will be given. A copy counts as held once its message is in this
+     * process's memory, where it shares the fate of the copies themselves. Thread safety: pure function.
+     */
+    static std::string replyTo(const std::string &message, const std::string &body);
 
 private:
     std::vector<const Member *> liveGateways() const;
--- a/lib/Gateway/CounterCopies.cpp
+++ b/lib/Gateway/CounterCopies.cpp
@@ -29,18 +29,21 @@
 {
 }
 
-bool CounterCopies::hold(const CountsRecord &record)
+void CounterCopies::hold(const CountsRecord &record)
 {
     const std::string key = countsRowKey(record.day, record.gateway);
     if (!m_copies.contains(key) && m_copies.size() >= MaximumCopies) {
-        return false;
+        const auto oldest = std::min_element(m_copies.begin(), m_copies.end(), [](const auto &left, const auto &right) {
+            return left.second.record.flushedUnixMs < right.second.record.flushedUnixMs;
+        });
+        logEvent(LogLevel::Error, "counter-copy-dropped", {{"row", oldest->first}});
+        m_copies.erase(oldest);
     }
     CountsRecord &held = m_copies[key].record;
     held.day = record.day;
     held.gateway = record.gateway;
     held.flushedUnixMs = std::max(held.flushedUnixMs, record.flushedUnixMs);
     mergeCounts(held, record);
-    return true;
 }
 
 void CounterCopies::restore(const std::function<bool(const InstanceId &)> &isDead)
--- /dev/null
+++ b/lib/Gateway/DocumentPoller.cpp
@@ -0,0 +1,67 @@
+#include "corianderscale/Gateway/DocumentPoller.h"
+
+#include "corianderscale/Support/Log.h"
+
+namespace coriander {
+
+namespace {
+
+constexpr Duration Interval = std::chrono::seconds(2);
+constexpr Duration ReadLimit = std::chrono::seconds(1);
+
+} // namespace
+
+DocumentPoller::DocumentPoller(GatewayHooks &hooks, Store &store, std::string environment, Found found)
+    : m_hooks(hooks)
+    , m_store(store)
+    , m_environment(std::move(environment))
+    , m_found(std::move(found))
+{
+}
+
+void DocumentPoller::poll()
+{
+    m_store.read({documentHeadKey(m_environment)},
+                 m_hooks.clock.now() + ReadLimit,
+                 [this](std::optional<TableRows> rows, const CoordinationError &) {
+                     m_hooks.post([this, rows = std::move(rows)] {
+                         ProtocolError error;
+                         if (!rows || rows->rows.empty() || rows->rows.front().version == RowVersion(0)) {
+                             return;
+                         }
+                         const auto head = decodeMessage<DocumentHead>(rows->rows.front().value, error);
+                         if (head && head->version > m_version) {
+                             readVersion(*head);
+                         }
+                     });
+                 });
+    m_hooks.at(m_hooks.clock.now() + Interval, [this] { poll(); });
+}
+
+void DocumentPoller::readVersion(const DocumentHead &head)
+{
+    m_store.read({documentVersionKey(m_environment, head.version)},
+                 m_hooks.clock.now() + ReadLimit,
+                 [this, head](std::optional<TableRows> rows, const CoordinationError &) {
+                     m_hooks.post([this, head, rows = std::move(rows)] { onText(head, rows); });
+                 });
+}
+
+void DocumentPoller::onText(const DocumentHead &head, const std::optional<TableRows> &rows)
+{
+    if (!rows || rows->rows.empty() || head.version <= m_version) {
+        return;
+    }
+    const std::string &text = rows->rows.front().value;
+    std::vector<YamlFault> faults;
+    auto document = sha256Hex(text) == head.digest ? parseDocument(text, "document", faults) : std::nullopt;
+    if (!document) {
+        logEvent(LogLevel::Error, "document-unusable", {{"version", head.version}});
+        return;
+    }
+    m_version = head.version;
+    logEvent(LogLevel::Info, "document-in-force", {{"version", head.version}, {"digest", head.digest}});
+    m_found(head.version, std::make_shared<const Document>(std::move(*document)));
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -0,0 +1,299 @@
+#include "corianderscale/Gateway/GatewayDaemon.h"
+
+#include "corianderscale/Coordination/StoreClient.h"
+#include "corianderscale/Daemon/CommandLine.h"
+#include "corianderscale/Daemon/ShutdownSignals.h"
+#include "corianderscale/Gateway/DocumentPoller.h"
+#include "corianderscale/Gateway/GatewayRoutes.h"
+#include "corianderscale/Support/Log.h"
+#include "corianderscale/Transport/PeerStreams.h"
+
+#include <mutex>
+#include <random>
+
+namespace coriander {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration VmListInterval = std::chrono::seconds(1);
+constexpr Duration VmListLimit = std::chrono::seconds(1);
+constexpr Duration AnnounceInterval = std::chrono::seconds(2);
+constexpr Duration SignalWait = std::chrono::milliseconds(100);
+constexpr Duration MetricsInterval = std::chrono::seconds(1);
+/** Kept of the drain time for closing the counters. */
+constexpr Duration CloseLimit = std::chrono::seconds(3);
+
+/** The gateway with its threads and sockets. */
+class GatewayDaemon
+{
+public:
+    explicit GatewayDaemon(const GatewayDaemonSettings &settings);
+    ~GatewayDaemon();
+    GatewayDaemon(const GatewayDaemon &) = delete;
+    GatewayDaemon &operator=(const GatewayDaemon &) = delete;
+
+    int run();
+
+private:
+    GatewayHooks makeHooks();
+    void sendPeer(const std::string &address,
+                  const std::string &message,
+                  std::string body,
+                  MonotonicTime deadline,
+                  std::function<void(std::optional<std::string>)> done);
+    std::string onPeerMessage(const std::string &message, const std::string &body);
+    void refreshVms();
+    void refreshMetrics();
+    void announce(const std::string &state);
+    void announceRegularly();
+    void drain();
+    bool closeCounters(MonotonicTime limit);
+    void logLeftovers();
+
+    GatewayDaemonSettings m_settings;
+    const CommonSettings &m_common;
+    Clock m_clock;
+    std::mt19937_64 m_random;
+    HttpClient m_client;
+    StoreClient m_store;
+    GatewayLoop m_loop;
+    GatewayHooks m_hooks;
+    PeerStreams m_peers;
+    GatewayCore m_core;
+    DocumentPoller m_documents;
+    std::shared_ptr<DaemonStatus> m_status;
+    GatewayMetrics m_metrics;
+    HttpServer m_server;
+};
+
+StoreClient::Settings storeSettings(const CommonSettings &common)
+{
+    StoreClient::Settings settings;
+    settings.platform = common.platform;
+    settings.engine.calls.siteWritesPerSecond = static_cast<double>(common.storeWritesPerSecond);
+    settings.engine.calls.siteReadsPerSecond = static_cast<double>(common.storeReadsPerSecond);
+    return settings;
+}
+
+GatewayDaemon::GatewayDaemon(const GatewayDaemonSettings &settings)
+    : m_settings(settings)
+    , m_common(m_settings.gateway.common)
+    , m_clock(systemClock())
+    , m_random(std::random_device()())
+    , m_client(m_clock)
+    , m_store(storeSettings(m_common), m_clock)
+    , m_loop(m_clock, TickInterval, [this] { m_core.tick(); })
+    , m_hooks(makeHooks())
+    , m_peers({m_common.instance, m_common.peerListen, m_common.peerKey},
+              m_clock,
+              [this](const std::string &message, const InstanceId &, const std::string &body) {
+                  return onPeerMessage(message, body);
+              })
+    , m_core(
+          m_settings.gateway,
+          m_hooks,
+          m_store,
+          [this](const auto &address, const auto &message, std::string body, MonotonicTime deadline, auto done) {
+              sendPeer(address, message, std::move(body), deadline, std::move(done));
+          },
+          RetryGate{[] { }, [] { return true; }},
+          [](const CallerKey &) { return std::optional<ErrorBody>(); })
+    , m_documents(m_hooks,
+                  m_store,
+                  m_common.environment,
+                  [this](DocumentVersion, const std::shared_ptr<const Document> &document) {
+                      m_core.setDocument(document);
+                      m_status->ready = true;
+                  })
+    , m_status(std::make_shared<DaemonStatus>())
+    , m_metrics(*m_status->metrics)
+    , m_server(m_common.listen, HttpServerLimits())
+{
+}
+
+GatewayDaemon::~GatewayDaemon()
+{
+    m_server.stop(m_clock.now());
+    m_loop.stop();
+}
+
+GatewayHooks GatewayDaemon::makeHooks()
+{
+    GatewayHooks hooks;
+    hooks.clock = m_clock;
+    hooks.post = [this](std::function<void()> task) { m_loop.post(std::move(task)); };
+    hooks.at = [this](MonotonicTime due, std::function<void()> task) { m_loop.at(due, std::move(task)); };
+    hooks.send = [this](const std::string &address,
+                        const HttpRequest &request,
+                        MonotonicTime deadline,
+                        HttpCompletion done) { m_client.send(address, request, deadline, std::move(done)); };
+    hooks.randomHex = randomHex;
+    hooks.random = [this] { return m_random(); };
+    return hooks;
+}
+
+void GatewayDaemon::sendPeer(const std::string &address,
+                             const std::string &message,
+                             std::string body,
+                             MonotonicTime deadline,
+                             std::function<void(std::optional<std::string>)> done)
+{
+    m_peers.send(address,
+                 message,
+                 std::move(body),
+                 deadline,
+                 [done = std::move(done)](std::optional<std::string> reply, const TransportError &) {
+                     done(std::move(reply));
+                 });
+}
+
+std::string GatewayDaemon::onPeerMessage(const std::string &message, const std::string &body)
+{
+    if (m_loop.accepts()) {
+        m_loop.post([this, message, body] { m_core.peers().handle(message, body); });
+        return GatewayPeers::replyTo(message, body);
+    }
+    return {};
+}
+
+void GatewayDaemon::refreshVms()
+{
+    m_store.listVms(m_clock.now() + VmListLimit, [this](std::optional<VmList> list, const CoordinationError &) {
+        if (list) {
+            m_loop.post([this, list = std::move(*list)] { m_core.setVms(list); });
+        }
+    });
+    m_loop.at(m_clock.now() + VmListInterval, [this] { refreshVms(); });
+}
+
+void GatewayDaemon::refreshMetrics()
+{
+    m_metrics.update(m_core.numbers());
+    m_loop.at(m_clock.now() + MetricsInterval, [this] { refreshMetrics(); });
+}
+
+void GatewayDaemon::announce(const std::string &state)
+{
+    VmEntry entry;
+    entry.id = m_common.instance.value();
+    entry.role = "entry";
+    entry.dataCentre = m_common.dataCentre;
+    entry.address = m_common.listen;
+    entry.peerAddress = m_common.peerListen;
+    entry.state = state;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/vms";
+    request.body = encodeMessage(entry);
+    m_client.send(m_common.platform, request, m_clock.now() + VmListLimit, [](const auto &, const auto &) { });
+}
+
+void GatewayDaemon::announceRegularly()
+{
+    announce("live");
+    m_loop.at(m_clock.now() + AnnounceInterval, [this] { announceRegularly(); });
+}
+
+int GatewayDaemon::run()
+{
+    setLogProcess("coriander-gateway", m_common.instance.value());
+    addStatusRoutes(m_server, m_status);
+    addCallerRoutes(m_server, m_loop, m_core);
+    m_loop.start();
+    TransportError error;
+    if (!m_peers.start(error) || !m_server.start(error)) {
+        logEvent(LogLevel::Error, "start-failed", {{"reason", error.reason}});
+        return ExitFailed;
+    }
+    m_loop.post([this] {
+        m_documents.poll();
+        refreshVms();
+        refreshMetrics();
+        if (m_settings.announce) {
+            announceRegularly();
+        }
+    });
+    logEvent(LogLevel::Info, "started", {{"listen", m_common.listen}, {"data_centre", m_common.dataCentre}});
+    while (!waitForShutdownSignal(std::chrono::seconds(1))) {
+    }
+    drain();
+    logEvent(LogLevel::Info, "stopped");
+    return ExitSuccess;
+}
+
+void GatewayDaemon::drain()
+{
+    const MonotonicTime limit = m_clock.now() + std::chrono::milliseconds(m_common.drainMs);
+    logEvent(LogLevel::Info, "draining", {{"limit_ms", m_common.drainMs}});
+    m_status->ready = false;
+    if (m_settings.announce) {
+        announce("leaving");
+    }
+    m_loop.postAndWait([this] { m_core.beginDrain(); });
+    bool drained = false;
+    while (!drained && m_clock.now() + CloseLimit < limit) {
+        m_loop.postAndWait([this, &drained] { drained = m_core.drained(); });
+        if (!drained && waitForShutdownSignal(SignalWait)) {
+            logEvent(LogLevel::Warning, "drain-cut-short", {{"reason", "second signal"}});
+            logLeftovers();
+            return;
+        }
+    }
+    const bool closed = closeCounters(limit);
+    if (!drained || !closed) {
+        logLeftovers();
+    }
+    m_server.stop(std::min(limit, m_clock.now() + CloseLimit));
+}
+
+bool GatewayDaemon::closeCounters(MonotonicTime limit)
+{
+    const auto closed = std::make_shared<std::atomic<bool>>(false);
+    m_loop.post([this, closed] { m_core.closeCounters([closed](bool all) { *closed = all; }); });
+    while (!*closed && m_clock.now() < limit) {
+        if (waitForShutdownSignal(SignalWait)) {
+            logEvent(LogLevel::Warning, "drain-cut-short", {{"reason", "second signal"}});
+            break;
+        }
+    }
+    return *closed;
+}
+
+void GatewayDaemon::logLeftovers()
+{
+    GatewayNumbers numbers;
+    m_loop.postAndWait([this, &numbers] { numbers = m_core.numbers(); });
+    const auto left = [](const char *what, std::size_t count) {
+        if (count > 0) {
+            logEvent(LogLevel::Warning, "left-at-shutdown", {{"what", what}, {"count", count}});
+        }
+    };
+    left("requests", numbers.inProgress);
+    left("claims", numbers.activeClaims);
+    left("uncommitted-counts", numbers.uncommittedCounts);
+    left("counter-copies", numbers.counterCopies);
+}
+
+} // namespace
+
+GatewayDaemonSettings GatewayDaemonSettings::read(YamlMap &settings)
+{
+    GatewayDaemonSettings result;
+    result.gateway.common = readCommonSettings(settings, "gateway");
+    result.gateway.queue.maximumQueued
+        = static_cast<std::size_t>(settings.integer("maximum_queued", 2000, 1, 100'000));
+    result.gateway.queue.maximumPerCaller
+        = static_cast<std::size_t>(settings.integer("maximum_queued_per_caller", 500, 1, 100'000));
+    result.gateway.pollInterval = std::chrono::milliseconds(settings.integer("endpoint_poll_ms", 2000, 100, 2500));
+    result.announce = settings.boolean("announce", false);
+    return result;
+}
+
+int runGateway(const GatewayDaemonSettings &settings)
+{
+    GatewayDaemon daemon(settings);
+    return daemon.run();
+}
+
+} // namespace coriander
--- a/lib/Gateway/GatewayPeers.cpp
+++ b/lib/Gateway/GatewayPeers.cpp
@@ -138,19 +138,31 @@
     }
 }
 
-std::optional<std::string> GatewayPeers::handle(const std::string &message, const std::string &body)
+std::string GatewayPeers::replyTo(const std::string &message, const std::string &body)
 {
-    if (message != LeavingEndpointMessage && message != CounterCopyMessage) {
-        return std::nullopt;
+    if (message != CounterCopyMessage) {
+        return toCbor(Json::object());
     }
+    const auto json = fromCbor(body);
+    ProtocolError error;
+    return toCbor({{"held", json && decodeJson<CountsRecord>(*json, error).has_value()}});
+}
+
+void GatewayPeers::handle(const std::string &message, const std::string &body)
+{
     const auto json = fromCbor(body);
     ProtocolError error;
     if (!json) {
-        return toCbor({{"held", false}});
+        return;
     }
     if (message == CounterCopyMessage) {
-        const auto record = decodeJson<CountsRecord>(*json, error);
-        return toCbor({{"held", record && m_copies.hold(*record)}});
+        if (const auto record = decodeJson<CountsRecord>(*json, error)) {
+            m_copies.hold(*record);
+        }
+        return;
+    }
+    if (message != LeavingEndpointMessage) {
+        return;
     }
     JsonReader reader(*json, {}, error);
     const auto endpoint = reader.requiredId<EndpointId>("endpoint");
@@ -158,7 +170,6 @@
     if (!reader.failed()) {
         m_directory.setLeaving(endpoint, incarnation);
     }
-    return toCbor(Json::object());
 }
 
 } // namespace coriander
--- a/tools/coriander-standin/Endpoint.cpp
+++ b/tools/coriander-standin/Endpoint.cpp
@@ -16,6 +16,7 @@
 namespace options = boost::program_options;
 using namespace coriander;
 
+/** The platform's stand-in forgets a VM that is silent. */
 constexpr Duration AnnounceInterval = std::chrono::seconds(2);
 constexpr Duration AnnounceTimeout = std::chrono::seconds(1);
 constexpr Duration DrainLimit = std::chrono::seconds(30);
@@ -64,7 +65,7 @@
     return description;
 }
 
-bool announce(HttpClient &client, const Clock &clock, const Arguments &arguments, const std::string &state)
+void announce(HttpClient &client, const Clock &clock, const Arguments &arguments, const std::string &state)
 {
     VmEntry entry;
     entry.id = arguments.id;
@@ -80,18 +81,15 @@
     const auto response = client.call(arguments.platform, request, clock.now() + AnnounceTimeout, error);
     if (!response || response->status >= 300) {
         logEvent(LogLevel::Warning, "announce-failed", {{"platform", arguments.platform}, {"reason", error.reason}});
-        return false;
     }
-    return true;
 }
 
 void serveUntilSignal(HttpClient &client, const Clock &clock, const Arguments &arguments)
 {
     MonotonicTime announceAt = clock.now();
-    bool announced = false;
     while (!waitForShutdownSignal(SignalWait)) {
-        if (!announced && clock.now() >= announceAt) {
-            announced = announce(client, clock, arguments, "live");
+        if (clock.now() >= announceAt) {
+            announce(client, clock, arguments, "live");
             announceAt = clock.now() + AnnounceInterval;
         }
     }
