coordination: add ownership of a data centre as a state machine

Cause: one scheduler of a data centre may place, and orders of a former owner must be recognisable. Change: Ownership acquires, renews and hands over the row owner/<dc>. The holder counts its term from before it sent the write, a challenger waits a whole term on its own clock, and writes with lost answers are recognised by their operation id. FakeStore::locked() states its return type, without which the header did not compile. Whether the properties detect broken variants is measured separately.

--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -164,7 +164,7 @@
     }
 
     template<typename Action>
-    auto locked(const Action &action)
+    auto locked(const Action &action) -> decltype(action())
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         return action();
--- /dev/null
+++ b/unittests/Coordination/OwnershipRaceTest.cpp
@@ -0,0 +1,163 @@
+#include "corianderscale/Coordination/Ownership.h"
+#include "corianderscale/Standin/TableModel.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace coriander {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int Instances = 3;
+
+/** A call that is on its way to the table or back. */
+struct Call {
+    std::function<void()> apply;
+    std::function<void()> answer;
+    std::function<void()> lose;
+};
+
+/** Instances that share one table; the test decides when calls take effect and are answered. */
+struct World {
+    World()
+    {
+        for (int i = 0; i < Instances; ++i) {
+            Ownership::Settings settings;
+            settings.dataCentre = DataCentreId("dc1");
+            settings.instance = InstanceId(std::to_string(i));
+            Ownership::Hooks hooks;
+            hooks.read = [this](std::vector<std::string> keys, MonotonicTime, RowsDone done) {
+                const auto rows = std::make_shared<TableRows>();
+                calls.push_back({[this, keys, rows] { *rows = table.read({keys}); },
+                                 [rows, done] { done(*rows, {}); },
+                                 [done] {
+                                     done(std::nullopt, {CoordinationCode::StoreAway, "lost"});
+                                 }});
+            };
+            hooks.commit = [this](TableTransaction transaction, MonotonicTime, CommitDone done) {
+                const auto result = std::make_shared<TableTransactionResult>();
+                calls.push_back({[this, transaction, result] { *result = table.commit(transaction, now); },
+                                 [result, done] { done(*result, {}); },
+                                 [done] {
+                                     done(std::nullopt, {CoordinationCode::OutcomeUnknown, "lost"});
+                                 }});
+            };
+            hooks.acquired = [this, i](Epoch epoch) {
+                RC_ASSERT(epochs.emplace(epoch, i).second);
+            };
+            instances.push_back(std::make_unique<Ownership>(settings, hooks));
+        }
+    }
+
+    Call take(std::size_t index)
+    {
+        Call call = std::move(calls[index]);
+        calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(index));
+        return call;
+    }
+
+    /** Never two valid terms at once. */
+    void check() const
+    {
+        int owners = 0;
+        for (const auto &instance : instances) {
+            owners += instance->ownedEpoch(now) ? 1 : 0;
+        }
+        RC_ASSERT(owners <= 1);
+    }
+
+    MonotonicTime now;
+    TableModel table;
+    std::vector<Call> calls;
+    std::vector<Call> late;
+    std::vector<std::unique_ptr<Ownership>> instances;
+    std::map<Epoch, int> epochs;
+};
+
+/** One generated step; lost calls may take effect at any later time. */
+void act(World &world)
+{
+    const int action = *rc::gen::weightedElement<int>({{12, 0}, {6, 1}, {4, 2}, {1, 3}, {1, 4}, {1, 5}});
+    const auto instance = static_cast<std::size_t>(*rc::gen::inRange(0, Instances));
+    if (action == 0) {
+        // Mostly the calls are answered at once, so that owners come and go often enough to meet.
+        const bool prompt = *rc::gen::weightedElement<bool>({{4, true}, {1, false}});
+        const std::size_t before = world.calls.size();
+        for (int i = 0; i < 4; ++i) {
+            world.instances[instance]->step(world.now);
+            while (prompt && world.calls.size() > before) {
+                Call call = world.take(before);
+                call.apply();
+                call.answer();
+            }
+        }
+    } else if (action == 1) {
+        world.now += milliseconds(*rc::gen::inRange(0, 3000));
+    } else if (action == 5 && !world.late.empty()) {
+        world.late.back().apply();
+        world.late.pop_back();
+    } else if (!world.calls.empty()) {
+        Call call
+            = world.take(static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(world.calls.size()))));
+        if (action == 2) {
+            call.apply();
+            call.answer();
+        } else if (action == 3) {
+            call.apply();
+            call.lose();
+        } else {
+            call.lose();
+            world.late.push_back(std::move(call));
+        }
+    }
+}
+
+// Guards against two owners at once and against one epoch held by two, whatever is delayed, lost or paused.
+RC_GTEST_PROP(OwnershipRace, neverTwoOwnersNorOneEpochTwice, ())
+{
+    World world;
+    const int releaseAt = *rc::gen::inRange(0, 800);
+    for (int i = 0; i < 400; ++i) {
+        act(world);
+        world.check();
+        if (i == releaseAt) {
+            world.instances.front()->release(world.now);
+        }
+    }
+}
+
+// Guards against a safe but useless protocol: when calls are answered again, an owner appears.
+RC_GTEST_PROP(OwnershipRace, anOwnerAppearsAfterTheDisturbance, ())
+{
+    World world;
+    for (int i = 0; i < 100; ++i) {
+        act(world);
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        world.instances.front()->release(world.now);
+    }
+    for (int i = 0; i < 400; ++i) {
+        world.now += milliseconds(100);
+        for (const auto &instance : world.instances) {
+            instance->step(world.now);
+        }
+        while (!world.calls.empty()) {
+            Call call = world.take(0);
+            call.apply();
+            call.answer();
+        }
+    }
+    int owners = 0;
+    int active = 0;
+    for (const auto &instance : world.instances) {
+        owners += instance->ownedEpoch(world.now) ? 1 : 0;
+        active += !instance->released() ? 1 : 0;
+    }
+    RC_ASSERT(owners == (active > 0 ? 1 : 0));
+}
+
+} // namespace
+} // namespace coriander
--- /dev/null
+++ b/unittests/Coordination/OwnershipTest.cpp
@@ -0,0 +1,182 @@
+#include "corianderscale/Coordination/Ownership.h"
+
+#include "corianderscale/Support/ManualClock.h"
+
+#include <gtest/gtest.h>
+
+#include "Coordination/FakeStore.h"
+
+namespace coriander {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class OwnershipTest : public testing::Test
+{
+protected:
+    std::unique_ptr<Ownership> make(const std::string &name)
+    {
+        Ownership::Settings settings;
+        settings.dataCentre = DataCentreId("dc1");
+        settings.instance = InstanceId(name);
+        Ownership::Hooks hooks = ownershipHooks(m_store);
+        hooks.lost = [this](Epoch, const std::string &) {
+            ++m_losses;
+        };
+        return std::make_unique<Ownership>(settings, hooks);
+    }
+
+    /** Steps the given instances for a time. */
+    void run(Duration time, const std::vector<Ownership *> &instances)
+    {
+        constexpr Duration Step = milliseconds(100);
+        for (Duration passed{}; passed < time; passed += Step) {
+            for (Ownership *instance : instances) {
+                instance->step(now());
+            }
+            m_clock.advance(Step);
+        }
+    }
+
+    MonotonicTime now()
+    {
+        return m_clock.clock().now();
+    }
+
+    /** Applies one fault to the next commits. */
+    void faultCommits(StoreFault fault, int count)
+    {
+        const auto left = std::make_shared<int>(count);
+        m_store.setFaults([fault, left](const std::string &operation, const OperationId &) {
+            return operation == "commit" && (*left)-- > 0 ? fault : StoreFault::None;
+        });
+    }
+
+    ManualClock m_clock;
+    FakeStore m_store{m_clock.clock()};
+    int m_losses = 0;
+};
+
+// Guards against a data centre without an owner, and against an owner that does not keep its ownership.
+TEST_F(OwnershipTest, firstInstanceAcquiresAndKeeps)
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    run(seconds(60), {a.get(), b.get()});
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(1));
+    EXPECT_FALSE(b->ownedEpoch(now()));
+    EXPECT_EQ(b->owner()->owner, InstanceId("a"));
+    EXPECT_EQ(m_losses, 0);
+}
+
+// Guards against a dead owner blocking its data centre, and against a takeover before its term has ended.
+TEST_F(OwnershipTest, challengerWaitsAWholeTermAndTakesOver)
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    run(seconds(1), {a.get(), b.get()});
+    run(milliseconds(9000), {b.get()});
+    EXPECT_FALSE(b->ownedEpoch(now()));
+    run(milliseconds(2500), {b.get()});
+    EXPECT_EQ(b->ownedEpoch(now()), Epoch(2));
+}
+
+// Guards against a holder that was paused giving orders after its term.
+TEST_F(OwnershipTest, pausedHolderKnowsThatItNoLongerOwns)
+{
+    const auto a = make("a");
+    run(seconds(1), {a.get()});
+    ASSERT_TRUE(a->ownedEpoch(now()));
+    m_clock.advance(seconds(10));
+    EXPECT_FALSE(a->ownedEpoch(now())) << "without any step";
+    run(seconds(1), {a.get()});
+    EXPECT_EQ(m_losses, 1);
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(2)) << "an epoch that was lost is not held again";
+}
+
+// Guards against time synchronisation or an operator moving the wall clock and so ending or extending a term.
+TEST_F(OwnershipTest, wallClockJumpsDoNotMatter)
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    for (const int hours : {-48, 96, -1}) {
+        m_clock.jumpWall(std::chrono::hours(hours));
+        run(seconds(15), {a.get(), b.get()});
+        EXPECT_EQ(a->ownedEpoch(now()), Epoch(1));
+    }
+}
+
+// Guards against an instance that owns without knowing it, or loses ownership, because an answer was lost.
+TEST_F(OwnershipTest, lostAnswersAreReadBack)
+{
+    const auto a = make("a");
+    faultCommits(StoreFault::AnswerLost, 1);
+    run(seconds(1), {a.get()});
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(1)) << "acquired";
+    faultCommits(StoreFault::AnswerLost, 5);
+    run(seconds(30), {a.get()});
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(1)) << "renewed";
+    EXPECT_EQ(m_losses, 0);
+    faultCommits(StoreFault::AnswerLost, 1);
+    a->release(now());
+    EXPECT_FALSE(a->ownedEpoch(now()));
+    run(seconds(2), {a.get()});
+    EXPECT_TRUE(a->released());
+}
+
+// Guards against giving up ownership for one lost request, and against holding it while the store stays away.
+TEST_F(OwnershipTest, storeAwayEndsTheTermAndItsReturnRestoresIt)
+{
+    const auto a = make("a");
+    run(seconds(1), {a.get()});
+    faultCommits(StoreFault::RequestLost, 2);
+    run(seconds(9), {a.get()});
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(1));
+    m_store.setFaults([](const std::string &, const OperationId &) { return StoreFault::Away; });
+    run(seconds(11), {a.get()});
+    EXPECT_FALSE(a->ownedEpoch(now()));
+    m_store.setFaults({});
+    run(seconds(2), {a.get()});
+    EXPECT_EQ(a->ownedEpoch(now()), Epoch(2));
+}
+
+// Guards against a graceful shutdown leaving the data centre without an owner for a term.
+TEST_F(OwnershipTest, releaseHandsOverAtOnce)
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    run(seconds(5), {a.get(), b.get()});
+    a->release(now());
+    EXPECT_FALSE(a->ownedEpoch(now())) << "before the write is sent";
+    run(milliseconds(1500), {a.get(), b.get()});
+    EXPECT_TRUE(a->released());
+    EXPECT_EQ(b->ownedEpoch(now()), Epoch(2));
+    run(seconds(30), {a.get(), b.get()});
+    EXPECT_FALSE(a->ownedEpoch(now())) << "an instance that has released does not return";
+}
+
+// Guards against a shutdown that hangs in an instance which never owned.
+TEST_F(OwnershipTest, releaseWithoutOwnershipNeedsNoWrite)
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    run(seconds(1), {a.get(), b.get()});
+    b->release(now());
+    run(seconds(1), {b.get()});
+    EXPECT_TRUE(b->released());
+    EXPECT_TRUE(a->ownedEpoch(now()));
+}
+
+// Guards against an epoch starting again at 1 because the row could not be read.
+TEST_F(OwnershipTest, malformedRowIsNotTaken)
+{
+    m_store.commit({OperationId("x"), {}, {{"owner/dc1", "not json"}}, {}}, {}, [](const auto &, const auto &) {});
+    const auto a = make("a");
+    run(seconds(30), {a.get()});
+    EXPECT_FALSE(a->ownedEpoch(now()));
+    EXPECT_EQ(m_store.commits(), 1);
+}
+
+} // namespace
+} // namespace coriander
