--- a/include/corianderscale/Protocol/Records.h
+++ b/include/corianderscale/Protocol/Records.h
@@ -158,6 +158,21 @@
     static CallerUsage fromJson(JsonReader &reader);
 };
 
+/** Cumulative use of a task that is contained in a usage row, kept until the worker has released the task. */
+struct CountedTask {
+    TaskId task;
+    CallerKey caller;
+    /** Whether the task used its organisation's guarantee. */
+    bool guaranteed = false;
+    /** Sequence of the last report that was counted; 0 when none was. */
+    std::int64_t sequence = 0;
+    UsageTotals counted;
+
+    Json toJson() const;
+    static CountedTask fromJson(JsonReader &reader);
+    bool operator==(const CountedTask &) const = default;
+};
+
 /** Row `usage/<dc>/<day>/<worker>/<incarnation>`: cumulative usage reported by one run of a worker. */
 struct UsageRecord {
     std::string day;
@@ -167,6 +182,8 @@
     /** Highest sequence that is contained. */
     std::int64_t sequence = 0;
     std::map<CallerKey, CallerUsage> usage;
+    /** What was counted of tasks that the worker may report again; lets a new owner count each report once. */
+    std::vector<CountedTask> tasks;
     std::int64_t reportedUnixMs = 0;
 
     Json toJson() const;
--- a/include/corianderscale/Protocol/WorkerMessages.h
+++ b/include/corianderscale/Protocol/WorkerMessages.h
@@ -50,9 +50,12 @@
     Accelerators accelerators;
     /** Start: what to run; interpreted by the worker. */
     std::string command;
-    /** Start: refused when received after this time, in ms since the Unix epoch. */
+    /**
+     * Start and renew: refused when received after this time, in ms since the Unix epoch. 0 for no limit on a renewal.
+     * Bounds how long an order that is delayed on its way can extend a lease.
+     */
     std::int64_t startByUnixMs = 0;
-    /** Stop: time to end in, in ms. Renew: term of the lease in ms, from receipt. */
+    /** Stop: time to end in, in ms. Start and renew: term of the lease in ms, from receipt. */
     std::int64_t milliseconds = 0;
     /** Stop: whether to checkpoint first when the task can. Start: whether to resume from the last checkpoint. */
     bool checkpoint = false;
--- /dev/null
+++ b/include/corianderscale/Scheduler/Snapshot.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "corianderscale/Protocol/WorkerMessages.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** A worker of a snapshot. */
+struct SnapshotWorker {
+    WorkerInfo info;
+    /** Base address of its HTTP interface. */
+    std::string address;
+};
+
+/** A gang that runs on all its members. */
+struct SnapshotGang {
+    JobId job;
+    std::int64_t attempt = 0;
+    /** Element i is the worker of task i. */
+    std::vector<WorkerId> workers;
+};
+
+/**
+ * The owner's placements at one time, kept in the object store and by the peers. From it a new owner learns the
+ * workers, and any scheduler of the data centre can renew leases while the store is away.
+ */
+struct Snapshot {
+    DataCentreId dataCentre;
+    InstanceId owner;
+    Epoch epoch;
+    /** Grows with each snapshot of the epoch. */
+    std::int64_t sequence = 0;
+    std::int64_t takenUnixMs = 0;
+    std::vector<SnapshotWorker> workers;
+    /** Gangs whose leases are to be renewed. */
+    std::vector<SnapshotGang> gangs;
+
+    /** Workers of gangs are written as positions in the list of workers, which keeps the message small. */
+    Json toJson() const;
+    static Snapshot fromJson(JsonReader &reader);
+
+    /** Whether this one replaces @p other. */
+    bool isNewerThan(const Snapshot &other) const;
+};
+
+/** CBOR form for peers and the object store. */
+std::string encodeSnapshot(const Snapshot &snapshot);
+std::optional<Snapshot> decodeSnapshot(const std::string &bytes, ProtocolError &error);
+
+/** Key of a snapshot in the object store. */
+std::string snapshotObjectKey(const Snapshot &snapshot);
+
+/** Row that names the newest snapshot's object. */
+std::string snapshotRowKey(const DataCentreId &dataCentre);
+
+} // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Scheduler/TaskNames.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "corianderscale/Support/StrongId.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace coriander {
+
+/** What the id of a task says. */
+struct TaskName {
+    JobId job;
+    std::int64_t attempt = 0;
+    std::int64_t index = 0;
+};
+
+/** The id of a task: `<job>.<attempt>.<index>`. Thread safety: pure function. */
+TaskId taskIdOf(const JobId &job, std::int64_t attempt, std::int64_t index);
+
+/** Reads an id made by taskIdOf(); no value for any other text. Thread safety: pure function. */
+std::optional<TaskName> parseTaskId(const TaskId &task);
+
+} // namespace coriander
--- a/lib/Protocol/Records.cpp
+++ b/lib/Protocol/Records.cpp
@@ -287,8 +287,31 @@
     return usage;
 }
 
+Json CountedTask::toJson() const
+{
+    Json json = {
+        {"task", task.value()}, {"guaranteed", guaranteed}, {"sequence", sequence}, {"counted", counted.toJson()}};
+    writeCallerKey(json, caller);
+    return json;
+}
+
+CountedTask CountedTask::fromJson(JsonReader &reader)
+{
+    CountedTask item;
+    item.task = reader.requiredId<TaskId>("task");
+    item.caller = readCallerKey(reader);
+    item.guaranteed = reader.boolean("guaranteed", false);
+    item.sequence = reader.integer("sequence", 0);
+    reader.requiredObject("counted", [&item](JsonReader &totals) { item.counted = UsageTotals::fromJson(totals); });
+    return item;
+}
+
 Json UsageRecord::toJson() const
 {
+    Json taskList = Json::array();
+    for (const CountedTask &task : tasks) {
+        taskList.push_back(task.toJson());
+    }
     Json list = Json::array();
     for (const auto &[key, callerUsage] : usage) {
         Json item = callerUsage.toJson();
@@ -301,6 +324,7 @@
             {"incarnation", incarnation.value()},
             {"sequence", sequence},
             {"usage", std::move(list)},
+            {"tasks", std::move(taskList)},
             {"reportedUnixMs", reportedUnixMs}};
 }
 
@@ -316,6 +340,8 @@
         const CallerKey key = readCallerKey(item);
         record.usage[key] = CallerUsage::fromJson(item);
     });
+    reader.forEachObject("tasks",
+                         [&record](JsonReader &item) { record.tasks.push_back(CountedTask::fromJson(item)); });
     record.reportedUnixMs = reader.integer("reportedUnixMs", 0);
     return record;
 }
--- a/lib/Protocol/WorkerMessages.cpp
+++ b/lib/Protocol/WorkerMessages.cpp
@@ -109,6 +109,7 @@
     case OrderKind::Start:
         json["command"] = command;
         json["startByUnixMs"] = startByUnixMs;
+        json["termMs"] = milliseconds;
         json["resume"] = checkpoint;
         break;
     case OrderKind::Stop:
@@ -120,6 +121,7 @@
         break;
     case OrderKind::Renew: {
         json["termMs"] = milliseconds;
+        json["notAfterUnixMs"] = startByUnixMs;
         json["digest"] = digest;
         Json jobs = Json::array();
         for (const JobId &id : excepted) {
@@ -153,6 +155,7 @@
     case OrderKind::Start:
         order.command = reader.requiredText("command");
         order.startByUnixMs = reader.requiredInteger("startByUnixMs");
+        order.milliseconds = reader.requiredInteger("termMs", 1);
         order.checkpoint = reader.boolean("resume", false);
         break;
     case OrderKind::Stop:
@@ -164,6 +167,7 @@
         break;
     case OrderKind::Renew:
         order.milliseconds = reader.requiredInteger("termMs", 1);
+        order.startByUnixMs = reader.integer("notAfterUnixMs", 0);
         order.digest = reader.text("digest");
         reader.forEachText("except", [&order](const std::string &id) { order.excepted.emplace_back(id); });
         break;
--- /dev/null
+++ b/lib/Scheduler/GangRun.cpp
@@ -0,0 +1,443 @@
+#include "corianderscale/Scheduler/GangRun.h"
+
+#include "corianderscale/Scheduler/TaskNames.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+std::int64_t wholeMs(Duration duration)
+{
+    return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+GangRun::GangRun(GangPlan plan, const SchedulerTiming &timing)
+    : m_plan(std::move(plan))
+    , m_timing(timing)
+{
+    for (std::size_t index = 0; index < m_plan.workers.size(); ++index) {
+        GangMember member;
+        member.task = taskIdOf(m_plan.job, m_plan.attempt, static_cast<std::int64_t>(index));
+        member.worker = m_plan.workers[index];
+        m_members.push_back(std::move(member));
+    }
+}
+
+GangRun GangRun::adopt(GangPlan plan, std::vector<GangMember> members, const SchedulerTiming &timing)
+{
+    GangRun run(std::move(plan), timing);
+    run.m_members = std::move(members);
+    run.m_phase = Phase::Running;
+    return run;
+}
+
+void GangRun::recorded()
+{
+    if (m_phase == Phase::Recording) {
+        m_phase = Phase::Reserving;
+    }
+}
+
+void GangRun::collect(const WorkerId &worker,
+                      MonotonicTime now,
+                      WallTime wallNow,
+                      std::vector<std::pair<WorkerOrder, std::size_t>> &orders)
+{
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        GangMember &member = m_members[index];
+        if (member.worker != worker || member.inFlight) {
+            continue;
+        }
+        if (std::optional<WorkerOrder> order = dueOrder(member, now, wallNow)) {
+            member.inFlight = true;
+            orders.emplace_back(std::move(*order), index);
+        }
+    }
+}
+
+std::optional<WorkerOrder> GangRun::dueOrder(GangMember &member, MonotonicTime now, WallTime wallNow)
+{
+    if (m_phase == Phase::Reserving && member.state == MemberState::Idle) {
+        return reserveOrder(member, now);
+    }
+    if (m_phase == Phase::Starting && member.state == MemberState::Reserved && now < m_startBy) {
+        return startOrder(member, now, wallNow);
+    }
+    if (m_phase == Phase::Stopping && member.nextSend <= now) {
+        return endingOrder(member, now);
+    }
+    return std::nullopt;
+}
+
+WorkerOrder GangRun::reserveOrder(GangMember &member, MonotonicTime now) const
+{
+    member.state = MemberState::Reserving;
+    member.mayHoldUntil = now + m_timing.requestLimit + m_timing.reservationTerm;
+    WorkerOrder order;
+    order.kind = OrderKind::Reserve;
+    order.task = member.task;
+    order.job = m_plan.job;
+    order.cores = m_plan.cores;
+    order.memory = m_plan.memory;
+    order.accelerators = m_plan.accelerators;
+    return order;
+}
+
+WorkerOrder GangRun::startOrder(GangMember &member, MonotonicTime now, WallTime wallNow) const
+{
+    member.state = MemberState::Starting;
+    member.mayRunUntil = m_startBy + m_timing.leaseTerm + m_timing.stopGrace;
+    WorkerOrder order;
+    order.kind = OrderKind::Start;
+    order.task = member.task;
+    order.job = m_plan.job;
+    order.command = m_plan.command;
+    order.checkpoint = m_plan.resume;
+    order.startByUnixMs = toUnixMs(wallNow + (m_startBy - now));
+    order.milliseconds = wholeMs(m_timing.leaseTerm);
+    return order;
+}
+
+std::optional<WorkerOrder> GangRun::endingOrder(GangMember &member, MonotonicTime now) const
+{
+    if (isOver(member)) {
+        return std::nullopt;
+    }
+    WorkerOrder order;
+    order.task = member.task;
+    order.job = m_plan.job;
+    member.nextSend = now + m_timing.resendInterval;
+    if (member.state == MemberState::Reserving || member.state == MemberState::Reserved) {
+        order.kind = OrderKind::Release;
+        return order;
+    }
+    order.kind = OrderKind::Stop;
+    order.checkpoint = m_checkpoint && m_plan.canCheckpoint;
+    order.milliseconds = wholeMs(m_stopBy - now);
+    return order;
+}
+
+void GangRun::answered(std::size_t index, OrderKind kind, const OrderResult &result, MonotonicTime now)
+{
+    GangMember &member = m_members.at(index);
+    member.inFlight = false;
+    if (member.state == MemberState::Ended || member.state == MemberState::Gone) {
+        return;
+    }
+    if (kind == OrderKind::Reserve) {
+        if (result.ok) {
+            member.state = MemberState::Reserved;
+            return;
+        }
+        member.state = MemberState::Gone;
+        m_refusedBy.push_back(member.worker);
+        return;
+    }
+    if (kind == OrderKind::Start && member.state == MemberState::Starting) {
+        if (result.ok) {
+            member.state = MemberState::Running;
+            member.mayRunUntil = now + m_timing.leaseTerm + m_timing.stopGrace;
+            return;
+        }
+        // A refused start leaves the reservation in place.
+        member.state = MemberState::Reserved;
+        member.mayHoldUntil = std::max(member.mayHoldUntil, now);
+        m_refusedBy.push_back(member.worker);
+        return;
+    }
+    if (kind == OrderKind::Release && result.ok) {
+        member.state = MemberState::Gone;
+        return;
+    }
+    // A member that is stopped was reserved before; what the worker does not know can no longer start.
+    if (kind == OrderKind::Stop && !result.ok && result.reason == "unknown-task") {
+        member.state = MemberState::Gone;
+    }
+}
+
+void GangRun::unanswered(std::size_t index, OrderKind kind, bool notSent, MonotonicTime now)
+{
+    GangMember &member = m_members.at(index);
+    member.inFlight = false;
+    member.nextSend = now + m_timing.resendInterval;
+    if (kind != OrderKind::Reserve && kind != OrderKind::Start) {
+        return;
+    }
+    m_refusedBy.push_back(member.worker);
+    member.nextSend = now;
+    if (notSent && kind == OrderKind::Reserve && member.state == MemberState::Reserving) {
+        member.state = MemberState::Gone;
+    }
+    if (notSent && kind == OrderKind::Start && member.state == MemberState::Starting) {
+        member.state = MemberState::Reserved;
+    }
+}
+
+void GangRun::observe(std::size_t index, const TaskReport &report)
+{
+    GangMember &member = m_members.at(index);
+    if (member.state == MemberState::Ended || member.state == MemberState::Gone) {
+        return;
+    }
+    member.checkpointed = report.checkpointed;
+    switch (report.state) {
+    case TaskState::Reserved:
+        return;
+    case TaskState::Running:
+    case TaskState::Stopping:
+        if (!member.inFlight) {
+            member.state = MemberState::Running;
+        }
+        return;
+    case TaskState::Succeeded:
+    case TaskState::Failed:
+    case TaskState::Stopped:
+        member.state = MemberState::Ended;
+        member.endedAs = report.state;
+        if (report.state == TaskState::Failed && m_failedOn.empty()) {
+            m_failedOn = member.worker;
+        }
+        return;
+    }
+}
+
+void GangRun::absent(std::size_t index)
+{
+    GangMember &member = m_members.at(index);
+    if (member.inFlight || isOver(member) || member.state == MemberState::Idle) {
+        return;
+    }
+    member.state = MemberState::Gone;
+}
+
+void GangRun::workerRestarted(const WorkerId &worker)
+{
+    for (GangMember &member : m_members) {
+        if (member.worker == worker && member.state != MemberState::Ended && member.state != MemberState::Idle) {
+            member.state = MemberState::Gone;
+        }
+    }
+}
+
+void GangRun::workerLost(const WorkerId &worker, MonotonicTime now)
+{
+    const bool affected = std::any_of(m_members.begin(), m_members.end(), [&](const GangMember &member) {
+        return member.worker == worker && member.state != MemberState::Ended;
+    });
+    if (!affected || m_phase == Phase::Stopping || m_phase == Phase::Over) {
+        return;
+    }
+    if (m_phase != Phase::Running) {
+        m_refusedBy.push_back(worker);
+    }
+    beginStopping(m_phase == Phase::Running ? Cause::Stopped : Cause::CouldNotStart, false, now + m_timing.stopGrace);
+}
+
+void GangRun::stop(bool checkpoint, MonotonicTime stopBy, MonotonicTime now)
+{
+    if (m_phase == Phase::Over) {
+        return;
+    }
+    if (m_phase == Phase::Stopping) {
+        m_stopBy = std::min(m_stopBy, stopBy);
+        return;
+    }
+    beginStopping(Cause::Stopped, checkpoint, std::max(stopBy, now));
+}
+
+void GangRun::beginStopping(Cause cause, bool checkpoint, MonotonicTime stopBy)
+{
+    m_phase = Phase::Stopping;
+    m_cause = cause;
+    m_checkpoint = checkpoint;
+    m_stopBy = stopBy;
+    for (GangMember &member : m_members) {
+        member.nextSend = {};
+    }
+}
+
+void GangRun::renewalSent(const WorkerId &worker, MonotonicTime now)
+{
+    for (GangMember &member : m_members) {
+        if (member.worker == worker && member.state == MemberState::Running) {
+            member.mayRunUntil = now + m_timing.requestLimit + m_timing.leaseTerm + m_timing.stopGrace;
+        }
+    }
+}
+
+bool GangRun::isOver(const GangMember &member) const
+{
+    return member.state == MemberState::Ended || member.state == MemberState::Gone
+        || (member.state == MemberState::Idle && m_phase >= Phase::Stopping);
+}
+
+bool GangRun::allOver() const
+{
+    return std::all_of(
+        m_members.begin(), m_members.end(), [this](const GangMember &member) { return isOver(member); });
+}
+
+bool GangRun::allSucceeded() const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
+        return member.state == MemberState::Ended && member.endedAs == TaskState::Succeeded;
+    });
+}
+
+void GangRun::expireMembers(MonotonicTime now)
+{
+    for (GangMember &member : m_members) {
+        const bool held = member.state == MemberState::Reserving || member.state == MemberState::Reserved;
+        const bool runs = member.state == MemberState::Starting || member.state == MemberState::Running;
+        if ((held && member.mayHoldUntil <= now) || (runs && member.mayRunUntil <= now)) {
+            member.state = MemberState::Gone;
+            member.inFlight = false;
+        }
+    }
+}
+
+std::vector<GangOutcome> GangRun::advance(MonotonicTime now)
+{
+    std::vector<GangOutcome> outcomes;
+    if (m_phase == Phase::Reserving) {
+        judgeReserving(now);
+    }
+    if (m_phase == Phase::Starting) {
+        judgeStarting(now, outcomes);
+    }
+    if (m_phase == Phase::Running) {
+        judgeRunning(now, outcomes);
+    }
+    if (m_phase == Phase::Stopping) {
+        expireMembers(now);
+        if (allOver()) {
+            m_phase = Phase::Over;
+            outcomes.push_back(finalOutcome());
+        }
+    }
+    return outcomes;
+}
+
+void GangRun::judgeReserving(MonotonicTime now)
+{
+    if (!m_refusedBy.empty()) {
+        beginStopping(Cause::CouldNotStart, false, now);
+        return;
+    }
+    const bool reserved = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
+        return member.state == MemberState::Reserved;
+    });
+    if (reserved) {
+        m_phase = Phase::Starting;
+        m_startBy = now + m_timing.startWindow;
+        return;
+    }
+    // A reservation that was answered can lapse at its worker while another worker has not answered.
+    for (const GangMember &member : m_members) {
+        if (member.state == MemberState::Gone) {
+            m_refusedBy.push_back(member.worker);
+        }
+    }
+    if (!m_refusedBy.empty()) {
+        beginStopping(Cause::CouldNotStart, false, now);
+    }
+}
+
+void GangRun::judgeStarting(MonotonicTime now, std::vector<GangOutcome> &outcomes)
+{
+    bool waiting = false;
+    for (const GangMember &member : m_members) {
+        waiting = waiting || member.inFlight;
+        if (member.state == MemberState::Gone && m_refusedBy.empty()) {
+            m_refusedBy.push_back(member.worker);
+        }
+    }
+    if (!m_refusedBy.empty()) {
+        beginStopping(Cause::CouldNotStart, false, now);
+        return;
+    }
+    const bool started = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
+        return member.state == MemberState::Running || member.state == MemberState::Ended;
+    });
+    if (started && !waiting) {
+        m_phase = Phase::Running;
+        outcomes.emplace_back(GangHasStarted{});
+        return;
+    }
+    if (now >= m_startBy && !waiting) {
+        for (const GangMember &member : m_members) {
+            if (member.state == MemberState::Reserved) {
+                m_refusedBy.push_back(member.worker);
+            }
+        }
+        beginStopping(Cause::CouldNotStart, false, now);
+    }
+}
+
+void GangRun::judgeRunning(MonotonicTime now, std::vector<GangOutcome> &outcomes)
+{
+    if (allSucceeded()) {
+        m_phase = Phase::Over;
+        outcomes.emplace_back(GangHasEnded{true, {}});
+        return;
+    }
+    if (!m_failedOn.empty()) {
+        beginStopping(Cause::Failed, false, now);
+        return;
+    }
+    const bool lost = std::any_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
+        return member.state == MemberState::Gone
+            || (member.state == MemberState::Ended && member.endedAs == TaskState::Stopped);
+    });
+    if (lost) {
+        beginStopping(Cause::Stopped, false, now + m_timing.stopGrace);
+    }
+}
+
+GangOutcome GangRun::finalOutcome() const
+{
+    if (allSucceeded()) {
+        return GangHasEnded{true, {}};
+    }
+    if (m_cause == Cause::CouldNotStart) {
+        return GangCouldNotStart{m_refusedBy};
+    }
+    if (m_cause == Cause::Failed) {
+        return GangHasEnded{false, m_failedOn};
+    }
+    const bool kept = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
+        return member.state == MemberState::Ended
+            && (member.checkpointed || member.endedAs == TaskState::Succeeded);
+    });
+    return GangHasStopped{kept};
+}
+
+MonotonicTime GangRun::nextDue() const
+{
+    MonotonicTime due = NeverDue;
+    if (m_phase == Phase::Starting) {
+        due = m_startBy;
+    }
+    if (m_phase != Phase::Stopping) {
+        return due;
+    }
+    for (const GangMember &member : m_members) {
+        if (isOver(member)) {
+            continue;
+        }
+        const bool held = member.state == MemberState::Reserving || member.state == MemberState::Reserved;
+        due = std::min(due, held ? member.mayHoldUntil : member.mayRunUntil);
+        if (!member.inFlight) {
+            due = std::min(due, member.nextSend);
+        }
+    }
+    return due;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Scheduler/SchedulerCoreGangs.cpp
@@ -0,0 +1,195 @@
+#include "corianderscale/Scheduler/SchedulerCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coriander {
+
+SchedulerCore::Gang *SchedulerCore::findGang(const GangKey &key)
+{
+    const auto found = m_gangs.find(key);
+    return found == m_gangs.end() ? nullptr : &found->second;
+}
+
+void SchedulerCore::addGang(const GangKey &key, Gang gang)
+{
+    for (const GangMember &member : gang.run.members()) {
+        m_workers[member.worker].gangs.insert(key);
+    }
+    m_gangs.insert_or_assign(key, std::move(gang));
+    m_transient.insert(key);
+}
+
+void SchedulerCore::eraseGang(const GangKey &key)
+{
+    const Gang *gang = findGang(key);
+    if (gang == nullptr) {
+        return;
+    }
+    for (const GangMember &member : gang->run.members()) {
+        m_workers[member.worker].gangs.erase(key);
+    }
+    m_transient.erase(key);
+    m_gangs.erase(key);
+}
+
+void SchedulerCore::attend(const Gang &gang)
+{
+    for (const GangMember &member : gang.run.members()) {
+        m_workers[member.worker].attention = true;
+    }
+}
+
+void SchedulerCore::pump(const GangKey &key, Instant at)
+{
+    Gang *gang = findGang(key);
+    if (gang == nullptr || gang->overRevision != 0) {
+        return;
+    }
+    const GangRun::Phase before = gang->run.phase();
+    const std::vector<GangOutcome> outcomes = gang->run.advance(at.now);
+    const GangRun::Phase after = gang->run.phase();
+    const bool still = after == GangRun::Phase::Running || after == GangRun::Phase::Over;
+    if (still) {
+        m_transient.erase(key);
+    } else {
+        m_transient.insert(key);
+    }
+    if (before != after || !still) {
+        attend(*gang);
+    }
+    if (before != after) {
+        ++m_placementRevision;
+    }
+    for (const GangOutcome &outcome : outcomes) {
+        handle(key, outcome, at);
+    }
+}
+
+void SchedulerCore::handle(const GangKey &key, const GangOutcome &outcome, Instant at)
+{
+    if (!std::holds_alternative<GangHasStarted>(outcome)) {
+        finish(key, outcome, at);
+        return;
+    }
+    JobEntry *entry = m_jobs.find(key.first);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->record.state = JobState::Running;
+    entry->record.startedUnixMs = toUnixMs(at.wallNow);
+    m_jobs.change(*entry);
+    log("gang-started", key.first, key.second, {}, "");
+    emit(decision::GangStarted{key.first, key.second - entry->attemptBase});
+}
+
+void SchedulerCore::finish(const GangKey &key, const GangOutcome &outcome, Instant at)
+{
+    Gang &gang = m_gangs.at(key);
+    JobEntry *entry = m_jobs.find(key.first);
+    if (entry == nullptr) {
+        eraseGang(key);
+        return;
+    }
+    addUsage(gang, *entry, at);
+    entry->record.state = JobState::Queued;
+    entry->record.placements.clear();
+    const std::int64_t attempt = key.second - entry->attemptBase;
+    if (const auto *failed = std::get_if<GangCouldNotStart>(&outcome)) {
+        entry->record.code = "start-failed";
+        log("gang-start-failed", key.first, key.second, failed->refusedBy.empty() ? WorkerId() : failed->refusedBy[0], "");
+        if (gang.known) {
+            emit(decision::GangStartFailed{key.first, attempt, failed->refusedBy});
+        }
+    } else if (const auto *stopped = std::get_if<GangHasStopped>(&outcome)) {
+        entry->record.checkpointed = entry->record.checkpointed || stopped->checkpointed;
+        log("gang-stopped", key.first, key.second, {}, stopped->checkpointed ? "checkpointed" : "not checkpointed");
+        if (gang.known) {
+            emit(decision::GangStopped{key.first, attempt, stopped->checkpointed});
+        }
+    } else if (const auto *ended = std::get_if<GangHasEnded>(&outcome)) {
+        log("gang-ended", key.first, key.second, ended->failedOn, ended->succeeded ? "succeeded" : "failed");
+        if (gang.known) {
+            emit(decision::GangEnded{key.first, attempt, ended->succeeded, ended->failedOn});
+        }
+    }
+    if (!gang.known) {
+        resubmit(key, outcome, at);
+    }
+    gang.overRevision = m_jobs.change(*entry);
+}
+
+void SchedulerCore::resubmit(const GangKey &key, const GangOutcome &outcome, Instant at)
+{
+    const auto *ended = std::get_if<GangHasEnded>(&outcome);
+    if (ended != nullptr && ended->succeeded) {
+        endJob(key.first, JobState::Finished, "", "", at);
+        return;
+    }
+    JobEntry &entry = *m_jobs.find(key.first);
+    if (entry.record.cancelRequested) {
+        endJob(key.first, JobState::Cancelled, "cancelled", "cancelled by its caller", at);
+        return;
+    }
+    submit(entry, at);
+}
+
+void SchedulerCore::addUsage(Gang &gang, JobEntry &entry, Instant at)
+{
+    UsageTotals &totals
+        = gang.run.plan().guaranteed ? entry.record.guaranteedUsage : entry.record.borrowedUsage;
+    for (const GangMember &member : gang.run.members()) {
+        totals += m_ledger.counted(member.task);
+        if (member.state != MemberState::Ended) {
+            m_ledger.keep(member.task, at.wallNow);
+        }
+        entry.after[member.worker] = m_ledger.revision();
+        m_ledger.hurry(member.worker);
+    }
+}
+
+void SchedulerCore::releaseRecorded(const JobId &job, Instant at)
+{
+    JobEntry *entry = m_jobs.find(job);
+    if (entry == nullptr) {
+        return;
+    }
+    std::vector<GangKey> recorded;
+    for (auto gang = m_gangs.lower_bound({job, 0}); gang != m_gangs.end() && gang->first.first == job; ++gang) {
+        Gang &item = gang->second;
+        if (item.overRevision != 0 && item.overRevision <= entry->writtenRevision) {
+            recorded.push_back(gang->first);
+            continue;
+        }
+        if (item.run.phase() == GangRun::Phase::Recording && item.recordRevision <= entry->writtenRevision) {
+            item.run.recorded();
+            attend(item);
+        }
+    }
+    for (const GangKey &key : recorded) {
+        releaseMembers(m_gangs.at(key));
+        eraseGang(key);
+    }
+    const bool written = entry->writtenRevision >= entry->revision;
+    const auto left = m_gangs.lower_bound({job, 0});
+    const bool gangsLeft = left != m_gangs.end() && left->first.first == job;
+    if (written && !gangsLeft && isTerminal(entry->record.state)) {
+        m_jobs.forget(job);
+    }
+    static_cast<void>(at);
+}
+
+void SchedulerCore::releaseMembers(const Gang &gang)
+{
+    for (const GangMember &member : gang.run.members()) {
+        WorkerEntry &worker = m_workers[member.worker];
+        if (member.state == MemberState::Ended) {
+            worker.releases.insert(member.task);
+            worker.attention = true;
+        } else if (!worker.lost) {
+            m_ledger.close(member.task);
+        }
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Standin/WorkerServer.cpp
@@ -0,0 +1,172 @@
+#include "corianderscale/Standin/WorkerServer.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <thread>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+/** How often timers of tasks are looked at. */
+constexpr Duration StepInterval = std::chrono::milliseconds(10);
+constexpr Duration CallLimit = std::chrono::seconds(2);
+/** A failed announcement is repeated after this time. */
+constexpr Duration AnnouncementInterval = std::chrono::seconds(1);
+/** A whole set of reserves for one worker is far smaller. */
+constexpr std::size_t MaximumOrderBytes = 1024 * 1024;
+
+HttpRequest postRequest(const std::string &path, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace
+
+WorkerServer::WorkerServer(WorkerServerSettings settings, WorkerInfo info, WorkerModelSettings model, Clock clock)
+    : m_settings(std::move(settings))
+    , m_clock(std::move(clock))
+    , m_model(std::move(info), model)
+    , m_client(m_clock)
+    , m_server(m_settings.listen, {MaximumOrderBytes})
+{
+    addRoutes();
+}
+
+WorkerServer::~WorkerServer()
+{
+    stop();
+}
+
+void WorkerServer::addRoutes()
+{
+    m_server.route("GET", "/v1/worker", [this](const HttpRequest &, const auto &, const HttpRespond &respond) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        respond(jsonResponse(200, encodeMessage(m_model.info())));
+    });
+    m_server.route("POST", "/v1/orders", [this](const HttpRequest &request, const auto &, const HttpRespond &respond) {
+        handleOrders(request, respond);
+    });
+}
+
+bool WorkerServer::start(std::string &reason)
+{
+    if (!m_settings.ledgerFile.empty()) {
+        m_ledger.open(m_settings.ledgerFile, std::ios::app);
+        if (!m_ledger) {
+            reason = "cannot write the ledger " + m_settings.ledgerFile + "; name a writable file";
+            return false;
+        }
+    }
+    TransportError error;
+    if (!m_server.start(error)) {
+        reason = error.reason;
+        return false;
+    }
+    m_timer = std::make_unique<DutyThread>("worker-timer", [this] { step(); });
+    return true;
+}
+
+void WorkerServer::stop()
+{
+    if (m_timer == nullptr) {
+        return;
+    }
+    m_timer.reset();
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_model.leave();
+    }
+    announce("leaving");
+    m_server.stop(m_clock.now() + CallLimit);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    writeLedger();
+}
+
+void WorkerServer::handleOrders(const HttpRequest &request, const HttpRespond &respond)
+{
+    ProtocolError error;
+    const auto orders = decodeMessage<WorkerOrders>(request.body, error);
+    if (!orders) {
+        const Json body = {{"error", {{"code", "invalid"}, {"reason", error.reason}}}};
+        respond(jsonResponse(400, body.dump()));
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    respond(jsonResponse(200, encodeMessage(m_model.handle(*orders, m_clock.now(), m_clock.wallNow()))));
+    writeLedger();
+}
+
+void WorkerServer::step()
+{
+    std::this_thread::sleep_for(StepInterval);
+    pushReport();
+    if (!m_announced && m_nextAnnouncement <= m_clock.now()) {
+        announce("live");
+    }
+}
+
+void WorkerServer::pushReport()
+{
+    std::optional<WorkerReport> report;
+    std::string address;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        report = m_model.takeReport(m_clock.now());
+        address = m_model.reportTo();
+        writeLedger();
+    }
+    if (!report) {
+        return;
+    }
+    // The answer is of no interest: a report of ended tasks is repeated until release orders arrive.
+    m_client.send(address,
+                  postRequest("/v1/reports", encodeMessage(*report)),
+                  m_clock.now() + CallLimit,
+                  [](const std::optional<HttpResponse> &, const TransportError &) {});
+}
+
+void WorkerServer::announce(const std::string &state)
+{
+    m_nextAnnouncement = m_clock.now() + AnnouncementInterval;
+    VmEntry entry;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        entry.id = m_model.info().id.value();
+        entry.dataCentre = m_model.info().dataCentre;
+    }
+    entry.role = "worker";
+    entry.address = m_settings.listen;
+    entry.state = state;
+    TransportError error;
+    const auto response
+        = m_client.call(m_settings.platform, postRequest("/vms", encodeMessage(entry)), m_clock.now() + CallLimit, error);
+    m_announced = response && response->status < 300;
+    if (!m_announced) {
+        logEvent(LogLevel::Warning,
+                 "announcement-failed",
+                 {{"platform", m_settings.platform},
+                  {"reason", response ? "status " + std::to_string(response->status) : error.reason}});
+    }
+}
+
+void WorkerServer::writeLedger()
+{
+    const MonotonicTime now = m_clock.now();
+    const WallTime wallNow = m_clock.wallNow();
+    for (const LedgerEntry &entry : m_model.takeLedger()) {
+        if (!m_ledger.is_open()) {
+            continue;
+        }
+        m_ledger << "time=" << toUnixMs(wallNow - (now - entry.at)) << " event=" << (entry.started ? "start" : "end")
+                 << " worker=" << m_model.info().id << " incarnation=" << m_model.info().incarnation
+                 << " task=" << entry.task << " job=" << entry.job << " state=" << toText(entry.state) << std::endl;
+    }
+}
+
+} // namespace coriander
