--- a/tools/coriander-standin/main.cpp
+++ b/tools/coriander-standin/main.cpp
@@ -1,11 +1,11 @@
-#include "Subcommands.h"
-
 #include "corianderscale/Daemon/CommandLine.h"
 
 #include <array>
 #include <iostream>
 #include <string_view>
 
+#include "Subcommands.h"
+
 namespace {
 
 struct Subcommand {
@@ -15,6 +15,7 @@
 };
 
 constexpr std::array Subcommands = {
+    Subcommand{"platform", "table service, object store and VM list in memory", runPlatform},
     Subcommand{"worker", "a worker that runs tasks as timers", runWorker},
 };
 
