--- a/include/corianderscale/Scheduler/SchedulerCore.h
+++ b/include/corianderscale/Scheduler/SchedulerCore.h
@@ -137,11 +137,8 @@
                         Instant at);
     /** A report that a worker sent by itself. */
     void reportReceived(const WorkerReport &report, Instant at);
-    void writeDone(StoreWrite::Kind kind,
-                   const std::string &unit,
-                   WriteOutcome outcome,
-                   RowVersion version,
-                   Instant at);
+    void writeDone(
+        StoreWrite::Kind kind, const std::string &unit, WriteOutcome outcome, RowVersion version, Instant at);
     void tick(Instant at);
     ///@}
 
@@ -189,6 +186,11 @@
         std::int64_t overRevision = 0;
         /** Whether the decision library knows the gang. */
         bool known = true;
+        /**
+         * Tasks that were asked for a checkpoint, with the sequence of the report that came with the answer; a later
+         * report shows whether it is stored. -1 while there is no answer.
+         */
+        std::map<TaskId, std::int64_t> checkpointing;
     };
 
     // Decisions (SchedulerCoreDecisions.cpp)
@@ -197,6 +199,8 @@
     void apply(const decision::Decision &decision, Instant at);
     void startGang(const decision::StartGang &start, Instant at);
     void stopGang(const decision::StopGang &stop, Instant at);
+    void checkpointGang(const decision::CheckpointGang &checkpoint);
+    void throttleTask(const decision::ThrottleTask &throttle);
     void endJob(const JobId &job, JobState state, const std::string &code, const std::string &reason, Instant at);
     void submit(JobEntry &entry, Instant at);
     decision::JobRequest requestOf(const JobRecord &record, Instant at) const;
@@ -221,6 +225,7 @@
     void eraseGang(const GangKey &key);
     void attend(const Gang &gang);
     Gang *findGang(const GangKey &key);
+    WorkerEntry &workerOf(const WorkerId &id);
 
     // Workers (SchedulerCoreWorkers.cpp)
     std::vector<WorkerOrder> dueOrders(WorkerEntry &worker, PendingRequest &request, Instant at);
@@ -231,6 +236,8 @@
     void takeTasks(WorkerEntry &worker, const WorkerReport &report, Instant at);
     void takeTask(WorkerEntry &worker, const WorkerReport &report, const TaskReport &task, Instant at);
     void takeStray(WorkerEntry &worker, const TaskReport &task);
+    void takeCheckpointAnswer(const TaskId &task, const OrderResult &result, const WorkerReport &report);
+    void noteCheckpoint(const GangKey &key, Gang &gang, const TaskReport &task);
     void takeAbsent(WorkerEntry &worker, const WorkerReport &report);
     void restarted(WorkerEntry &worker, const InstanceId &incarnation, Instant at);
     void lose(WorkerEntry &worker, Instant at);
--- a/include/corianderscale/Scheduler/WorkerEntry.h
+++ b/include/corianderscale/Scheduler/WorkerEntry.h
@@ -51,6 +51,8 @@
     /** Recorded tasks, and reservations nobody wants, that it may forget. */
     std::set<TaskId> releases;
     std::map<TaskId, MilliCores> throttles;
+    /** Tasks that are to store a checkpoint and run on. */
+    std::set<TaskId> checkpoints;
     /** Tasks of unknown or ended jobs, with when the stop is sent next. */
     std::map<TaskId, MonotonicTime> strays;
 };
--- a/include/corianderscale/Standin/WorkerModel.h
+++ b/include/corianderscale/Standin/WorkerModel.h
@@ -92,6 +92,8 @@
         MonotonicTime checkpointAt = NeverDue;
         MonotonicTime stopsAt = NeverDue;
         MonotonicTime usageSince{};
+        /** Whether the next report shows the running task because it has stored a checkpoint. */
+        bool announce = false;
     };
 
     OrderResult carryOut(const WorkerOrder &order, MonotonicTime now, WallTime wallNow);
--- a/lib/Scheduler/GangRun.cpp
+++ b/lib/Scheduler/GangRun.cpp
@@ -279,8 +279,7 @@
 
 bool GangRun::allOver() const
 {
-    return std::all_of(
-        m_members.begin(), m_members.end(), [this](const GangMember &member) { return isOver(member); });
+    return std::all_of(m_members.begin(), m_members.end(), [this](const GangMember &member) { return isOver(member); });
 }
 
 bool GangRun::allSucceeded() const
@@ -412,8 +411,7 @@
         return GangHasEnded{false, m_failedOn};
     }
     const bool kept = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Ended
-            && (member.checkpointed || member.endedAs == TaskState::Succeeded);
+        return member.state == MemberState::Ended && (member.checkpointed || member.endedAs == TaskState::Succeeded);
     });
     return GangHasStopped{kept};
 }
--- a/lib/Scheduler/SchedulerCore.cpp
+++ b/lib/Scheduler/SchedulerCore.cpp
@@ -81,11 +81,8 @@
     settle(at);
 }
 
-void SchedulerCore::writeDone(StoreWrite::Kind kind,
-                              const std::string &unit,
-                              WriteOutcome outcome,
-                              RowVersion version,
-                              Instant at)
+void SchedulerCore::writeDone(
+    StoreWrite::Kind kind, const std::string &unit, WriteOutcome outcome, RowVersion version, Instant at)
 {
     if (m_phase != Phase::Active) {
         return;
@@ -127,9 +124,8 @@
         return {};
     }
     std::vector<StoreWrite> writes = m_ledger.takeWrites(at.now, at.wallNow);
-    std::vector<StoreWrite> jobs = m_jobs.takeWrites(at.now, [this](const WorkerId &worker, std::int64_t revision) {
-        return m_ledger.isWritten(worker, revision);
-    });
+    std::vector<StoreWrite> jobs = m_jobs.takeWrites(
+        at.now, [this](const WorkerId &worker, std::int64_t revision) { return m_ledger.isWritten(worker, revision); });
     std::move(jobs.begin(), jobs.end(), std::back_inserter(writes));
     return writes;
 }
@@ -156,11 +152,8 @@
     return snapshot;
 }
 
-void SchedulerCore::log(const std::string &event,
-                        const JobId &job,
-                        std::int64_t attempt,
-                        const WorkerId &worker,
-                        const std::string &reason)
+void SchedulerCore::log(
+    const std::string &event, const JobId &job, std::int64_t attempt, const WorkerId &worker, const std::string &reason)
 {
     m_log({event, job, attempt, worker, reason});
 }
--- a/lib/Scheduler/SchedulerCoreDecisions.cpp
+++ b/lib/Scheduler/SchedulerCoreDecisions.cpp
@@ -88,20 +88,8 @@
         Overloaded{
             [&](const decision::StartGang &start) { startGang(start, at); },
             [&](const decision::StopGang &stop) { stopGang(stop, at); },
-            [&](const decision::ThrottleTask &throttle) {
-                const JobEntry *entry = m_jobs.find(throttle.job);
-                const auto worker = m_workers.find(throttle.worker);
-                if (entry == nullptr || worker == m_workers.end()) {
-                    return;
-                }
-                for (const TaskPlacement &placement : entry->record.placements) {
-                    if (placement.worker == throttle.worker) {
-                        worker->second.throttles[placement.task] = throttle.cores;
-                        worker->second.attention = true;
-                    }
-                }
-                log("throttle-task", throttle.job, entry->record.attempt, throttle.worker, "");
-            },
+            [&](const decision::CheckpointGang &checkpoint) { checkpointGang(checkpoint); },
+            [&](const decision::ThrottleTask &throttle) { throttleTask(throttle); },
             [&](const decision::RefuseJob &refuse) {
                 endJob(refuse.job, JobState::Refused, refuse.code, refuse.reason, at);
             },
@@ -134,6 +122,41 @@
         decision);
 }
 
+void SchedulerCore::checkpointGang(const decision::CheckpointGang &checkpoint)
+{
+    const JobEntry *entry = m_jobs.find(checkpoint.job);
+    Gang *gang = entry == nullptr ? nullptr : findGang({checkpoint.job, entry->attemptBase + checkpoint.attempt});
+    if (gang == nullptr || gang->run.phase() != GangRun::Phase::Running) {
+        return;
+    }
+    gang->checkpointing.clear();
+    for (const GangMember &member : gang->run.members()) {
+        if (member.state == MemberState::Running) {
+            gang->checkpointing[member.task] = -1;
+            WorkerEntry &worker = workerOf(member.worker);
+            worker.checkpoints.insert(member.task);
+            worker.attention = true;
+        }
+    }
+    log("checkpoint-gang", checkpoint.job, entry->record.attempt, {}, "");
+}
+
+void SchedulerCore::throttleTask(const decision::ThrottleTask &throttle)
+{
+    const JobEntry *entry = m_jobs.find(throttle.job);
+    if (entry == nullptr) {
+        return;
+    }
+    WorkerEntry &worker = workerOf(throttle.worker);
+    for (const TaskPlacement &placement : entry->record.placements) {
+        if (placement.worker == throttle.worker) {
+            worker.throttles[placement.task] = throttle.cores;
+            worker.attention = true;
+        }
+    }
+    log("throttle-task", throttle.job, entry->record.attempt, throttle.worker, "");
+}
+
 void SchedulerCore::startGang(const decision::StartGang &start, Instant at)
 {
     JobEntry *entry = m_jobs.find(start.job);
@@ -198,11 +221,8 @@
     pump(key, at);
 }
 
-void SchedulerCore::endJob(const JobId &job,
-                           JobState state,
-                           const std::string &code,
-                           const std::string &reason,
-                           Instant at)
+void SchedulerCore::endJob(
+    const JobId &job, JobState state, const std::string &code, const std::string &reason, Instant at)
 {
     JobEntry *entry = m_jobs.find(job);
     if (entry == nullptr || isTerminal(entry->record.state)) {
--- a/lib/Scheduler/SchedulerCoreGangs.cpp
+++ b/lib/Scheduler/SchedulerCoreGangs.cpp
@@ -11,10 +11,21 @@
     return found == m_gangs.end() ? nullptr : &found->second;
 }
 
+WorkerEntry &SchedulerCore::workerOf(const WorkerId &id)
+{
+    const auto [found, fresh] = m_workers.try_emplace(id);
+    if (fresh) {
+        // Known only from a placement; kept until no gang names it or the platform's list shows it.
+        found->second.info.id = id;
+        found->second.unlisted = true;
+    }
+    return found->second;
+}
+
 void SchedulerCore::addGang(const GangKey &key, Gang gang)
 {
     for (const GangMember &member : gang.run.members()) {
-        m_workers[member.worker].gangs.insert(key);
+        workerOf(member.worker).gangs.insert(key);
     }
     m_gangs.insert_or_assign(key, std::move(gang));
     m_transient.insert(key);
@@ -27,7 +38,7 @@
         return;
     }
     for (const GangMember &member : gang->run.members()) {
-        m_workers[member.worker].gangs.erase(key);
+        workerOf(member.worker).gangs.erase(key);
     }
     m_transient.erase(key);
     m_gangs.erase(key);
@@ -36,7 +47,7 @@
 void SchedulerCore::attend(const Gang &gang)
 {
     for (const GangMember &member : gang.run.members()) {
-        m_workers[member.worker].attention = true;
+        workerOf(member.worker).attention = true;
     }
 }
 
@@ -97,7 +108,11 @@
     const std::int64_t attempt = key.second - entry->attemptBase;
     if (const auto *failed = std::get_if<GangCouldNotStart>(&outcome)) {
         entry->record.code = "start-failed";
-        log("gang-start-failed", key.first, key.second, failed->refusedBy.empty() ? WorkerId() : failed->refusedBy[0], "");
+        log("gang-start-failed",
+            key.first,
+            key.second,
+            failed->refusedBy.empty() ? WorkerId() : failed->refusedBy[0],
+            "");
         if (gang.known) {
             emit(decision::GangStartFailed{key.first, attempt, failed->refusedBy});
         }
@@ -136,8 +151,7 @@
 
 void SchedulerCore::addUsage(Gang &gang, JobEntry &entry, Instant at)
 {
-    UsageTotals &totals
-        = gang.run.plan().guaranteed ? entry.record.guaranteedUsage : entry.record.borrowedUsage;
+    UsageTotals &totals = gang.run.plan().guaranteed ? entry.record.guaranteedUsage : entry.record.borrowedUsage;
     for (const GangMember &member : gang.run.members()) {
         totals += m_ledger.counted(member.task);
         if (member.state != MemberState::Ended) {
@@ -182,7 +196,7 @@
 void SchedulerCore::releaseMembers(const Gang &gang)
 {
     for (const GangMember &member : gang.run.members()) {
-        WorkerEntry &worker = m_workers[member.worker];
+        WorkerEntry &worker = workerOf(member.worker);
         if (member.state == MemberState::Ended) {
             worker.releases.insert(member.task);
             worker.attention = true;
--- a/lib/Scheduler/SchedulerCoreTakeover.cpp
+++ b/lib/Scheduler/SchedulerCoreTakeover.cpp
@@ -49,8 +49,9 @@
     if (m_phase != Phase::Asking) {
         return;
     }
-    const bool all = std::all_of(
-        m_workers.begin(), m_workers.end(), [](const auto &item) { return item.second.answer.has_value(); });
+    const bool all = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &item) {
+        return item.second.address.empty() || item.second.answer.has_value();
+    });
     if ((m_listed && all) || m_askUntil <= at.now) {
         adoptAll(at);
     }
@@ -78,10 +79,6 @@
     for (JobEntry *entry : queued) {
         submit(*entry, at);
     }
-    const std::vector<GangKey> adopted(m_transient.begin(), m_transient.end());
-    for (const GangKey &key : adopted) {
-        pump(key, at);
-    }
     for (auto &[id, worker] : m_workers) {
         if (worker.answer) {
             const WorkerReport report = std::move(*worker.answer);
@@ -89,6 +86,10 @@
             takeTasks(worker, report, at);
         }
     }
+    const std::vector<GangKey> adopted(m_transient.begin(), m_transient.end());
+    for (const GangKey &key : adopted) {
+        pump(key, at);
+    }
     ++m_placementRevision;
     settle(at);
 }
@@ -103,9 +104,10 @@
         workers.push_back(placement.worker);
         members.push_back(adoptMember(placement, at));
         const GangMember &member = members.back();
-        const WorkerEntry &worker = m_workers[placement.worker];
-        const bool lives = member.state == MemberState::Running || member.state == MemberState::Ended;
-        whole = whole && lives && !worker.address.empty();
+        const WorkerEntry &worker = workerOf(placement.worker);
+        const TaskReport *task = worker.answer ? answeredTask(worker, placement.task) : nullptr;
+        const bool stops = task != nullptr && (task->state == TaskState::Stopping || task->state == TaskState::Stopped);
+        whole = whole && member.state == MemberState::Running && !stops && !worker.address.empty();
         m_ledger.open(placement.task,
                       placement.worker,
                       worker.info.incarnation,
--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -80,6 +80,7 @@
     worker.releases.clear();
     worker.strays.clear();
     worker.throttles.clear();
+    worker.checkpoints.clear();
     worker.answer.reset();
     m_ledger.closeOlder(worker.info.id, incarnation);
     if (m_phase != Phase::Active) {
@@ -105,6 +106,7 @@
         if (silent && !worker.lost && worker.joined) {
             lose(worker, at);
         }
+        worker.attention = worker.attention || (!worker.lost && !worker.strays.empty());
         if (silent && worker.unlisted && worker.gangs.empty() && !worker.pending) {
             dropped.push_back(id);
         }
@@ -211,6 +213,9 @@
             add(OrderKind::Release, task);
         }
     }
+    for (const TaskId &task : std::exchange(worker.checkpoints, {})) {
+        add(OrderKind::Checkpoint, task);
+    }
     for (const auto &[task, cores] : std::exchange(worker.throttles, {})) {
         add(OrderKind::Throttle, task).cores = cores;
     }
@@ -220,8 +225,7 @@
 {
     WorkerOrder order;
     order.kind = OrderKind::Renew;
-    order.milliseconds
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.timing.leaseTerm).count();
+    order.milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.timing.leaseTerm).count();
     order.startByUnixMs = toUnixMs(at.wallNow + m_settings.timing.requestLimit);
     std::vector<TaskId> tasks;
     std::set<JobId> excepted;
@@ -248,11 +252,8 @@
     return order;
 }
 
-void SchedulerCore::workerAnswered(const WorkerId &id,
-                                   std::int64_t request,
-                                   const std::optional<WorkerReport> &report,
-                                   bool notSent,
-                                   Instant at)
+void SchedulerCore::workerAnswered(
+    const WorkerId &id, std::int64_t request, const std::optional<WorkerReport> &report, bool notSent, Instant at)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end() || !found->second.pending || found->second.pending->id != request) {
@@ -315,11 +316,46 @@
             m_ledger.close(order.task);
         } else if (order.kind == OrderKind::Stop && !result.ok) {
             worker.strays.erase(order.task);
+        } else if (order.kind == OrderKind::Checkpoint) {
+            takeCheckpointAnswer(order.task, result, report);
         }
     }
     takeTasks(worker, report, at);
 }
 
+void SchedulerCore::takeCheckpointAnswer(const TaskId &task, const OrderResult &result, const WorkerReport &report)
+{
+    const std::optional<TaskName> name = parseTaskId(task);
+    Gang *gang = name ? findGang({name->job, name->attempt}) : nullptr;
+    if (gang == nullptr || !gang->checkpointing.contains(task)) {
+        return;
+    }
+    const auto found = std::find_if(
+        report.tasks.begin(), report.tasks.end(), [&task](const TaskReport &item) { return item.task == task; });
+    if (!result.ok || found == report.tasks.end()) {
+        gang->checkpointing.clear();
+        return;
+    }
+    gang->checkpointing[task] = found->sequence;
+}
+
+void SchedulerCore::noteCheckpoint(const GangKey &key, Gang &gang, const TaskReport &task)
+{
+    const auto waiting = gang.checkpointing.find(task.task);
+    if (waiting == gang.checkpointing.end() || waiting->second < 0 || task.sequence <= waiting->second
+        || !task.checkpointed) {
+        return;
+    }
+    gang.checkpointing.erase(waiting);
+    if (gang.checkpointing.empty()) {
+        JobEntry &entry = *m_jobs.find(key.first);
+        entry.record.checkpointed = true;
+        m_jobs.change(entry);
+        log("gang-checkpointed", key.first, key.second, {}, "");
+        emit(decision::GangCheckpointed{key.first, key.second - entry.attemptBase});
+    }
+}
+
 void SchedulerCore::takeTasks(WorkerEntry &worker, const WorkerReport &report, Instant at)
 {
     for (const TaskReport &task : report.tasks) {
@@ -358,8 +394,8 @@
     const std::optional<TaskName> name = parseTaskId(task.task);
     Gang *gang = name ? findGang({name->job, name->attempt}) : nullptr;
     const auto index = name ? static_cast<std::size_t>(name->index) : 0;
-    const bool member = gang != nullptr && index < gang->run.members().size()
-        && gang->run.members()[index].worker == worker.info.id;
+    const bool member
+        = gang != nullptr && index < gang->run.members().size() && gang->run.members()[index].worker == worker.info.id;
     if (!member) {
         takeStray(worker, task);
         return;
@@ -371,6 +407,7 @@
         return;
     }
     gang->run.observe(index, task);
+    noteCheckpoint({name->job, name->attempt}, *gang, task);
     if (gang->known && gang->run.phase() == GangRun::Phase::Running && task.state == TaskState::Running) {
         emit(decision::UsageObserved{
             name->job, worker.info.id, {task.coresUsed, task.memoryUsed, gang->run.plan().accelerators}});
@@ -393,8 +430,7 @@
 void SchedulerCore::reportReceived(const WorkerReport &report, Instant at)
 {
     const auto found = m_workers.find(report.worker);
-    if (m_phase != Phase::Active || found == m_workers.end()
-        || found->second.info.incarnation != report.incarnation) {
+    if (m_phase != Phase::Active || found == m_workers.end() || found->second.info.incarnation != report.incarnation) {
         return;
     }
     takeTasks(found->second, report, at);
--- a/lib/Scheduler/Snapshot.cpp
+++ b/lib/Scheduler/Snapshot.cpp
@@ -72,9 +72,8 @@
         worker.address = item.requiredText("address");
         snapshot.workers.push_back(std::move(worker));
     });
-    reader.forEachObject("gangs", [&snapshot](JsonReader &item) {
-        snapshot.gangs.push_back(readGang(item, snapshot.workers));
-    });
+    reader.forEachObject("gangs",
+                         [&snapshot](JsonReader &item) { snapshot.gangs.push_back(readGang(item, snapshot.workers)); });
     return snapshot;
 }
 
@@ -101,10 +100,8 @@
 
 std::string snapshotObjectKey(const Snapshot &snapshot)
 {
-    return fmt::format("snapshots/{}/{:010}-{:010}",
-                       snapshot.dataCentre.value(),
-                       snapshot.epoch.count(),
-                       snapshot.sequence);
+    return fmt::format(
+        "snapshots/{}/{:010}-{:010}", snapshot.dataCentre.value(), snapshot.epoch.count(), snapshot.sequence);
 }
 
 std::string snapshotRowKey(const DataCentreId &dataCentre)
--- a/lib/Standin/WorkerModel.cpp
+++ b/lib/Standin/WorkerModel.cpp
@@ -256,6 +256,8 @@
         task.report.checkpointed = true;
         m_saved[task.report.job] = task.script.run - (task.endsAt - task.checkpointAt);
         task.checkpointAt = NeverDue;
+        task.announce = true;
+        m_changed = true;
     }
     if (task.endsAt <= until) {
         const bool succeeds = task.script.succeeds;
@@ -307,8 +309,8 @@
         return std::nullopt;
     }
     const bool usageDue = m_nextUsage <= now && !activeTasks().empty();
-    const bool ended
-        = std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &task) { return hasEnded(task.second.report.state); });
+    const bool ended = std::any_of(
+        m_tasks.begin(), m_tasks.end(), [](const auto &task) { return hasEnded(task.second.report.state); });
     if (!m_changed && !usageDue && !(ended && m_nextRepeat <= now)) {
         return std::nullopt;
     }
@@ -318,7 +320,8 @@
     report.epoch = m_epoch;
     report.digest = taskSetDigest(activeTasks());
     for (auto &[id, task] : m_tasks) {
-        if (hasEnded(task.report.state) || (usageDue && isActive(task.report.state))) {
+        const bool announce = std::exchange(task.announce, false);
+        if (hasEnded(task.report.state) || (isActive(task.report.state) && (usageDue || announce))) {
             report.tasks.push_back(reportOf(task, now));
         }
     }
--- a/lib/Standin/WorkerServer.cpp
+++ b/lib/Standin/WorkerServer.cpp
@@ -144,8 +144,8 @@
     entry.address = m_settings.listen;
     entry.state = state;
     TransportError error;
-    const auto response
-        = m_client.call(m_settings.platform, postRequest("/vms", encodeMessage(entry)), m_clock.now() + CallLimit, error);
+    const auto response = m_client.call(
+        m_settings.platform, postRequest("/vms", encodeMessage(entry)), m_clock.now() + CallLimit, error);
     m_announced = response && response->status < 300;
     if (!m_announced) {
         logEvent(LogLevel::Warning,
--- a/tools/coriander-standin/Worker.cpp
+++ b/tools/coriander-standin/Worker.cpp
@@ -1,5 +1,3 @@
-#include "Subcommands.h"
-
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Standin/WorkerServer.h"
@@ -9,6 +7,8 @@
 
 #include <iostream>
 
+#include "Subcommands.h"
+
 namespace {
 
 using namespace coriander;
@@ -93,8 +93,7 @@
         std::cerr << "coriander-standin worker: " << reason << '\n';
         return ExitFailed;
     }
-    while (!waitForShutdownSignal(std::chrono::seconds(60))) {
-    }
+    while (!waitForShutdownSignal(std::chrono::seconds(60))) { }
     server.stop();
     return ExitSuccess;
 }
--- /dev/null
+++ b/unittests/Scheduler/CoreWorld.h
@@ -0,0 +1,420 @@
+#pragma once
+
+#include "corianderscale/Decision/Scheduler.h"
+#include "corianderscale/Scheduler/SchedulerCore.h"
+#include "corianderscale/Scheduler/TaskNames.h"
+#include "corianderscale/Standin/TableModel.h"
+#include "corianderscale/Standin/WorkerModel.h"
+#include "corianderscale/Support/Log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** What happens to one message between a core and a worker or the table. */
+enum class LinkFault {
+    None,
+    /** Refused connection: the sender learns at once that nothing arrived. */
+    NotSent,
+    /** Lost on the way; the sender learns nothing until its deadline. */
+    RequestLost,
+    /** Takes effect; the answer is lost. */
+    AnswerLost,
+};
+
+/** Scheduler cores, workers and a table joined by direct calls with chosen faults, on a manual time. */
+class CoreWorld
+{
+public:
+    /** Chooses the fault of a request to a worker (by its id) or of a write (`table`). */
+    using FaultHook = std::function<LinkFault(const std::string &target, const std::vector<WorkerOrder> &orders)>;
+
+    struct Run {
+        JobId job;
+        std::int64_t attempt = 0;
+        TaskId task;
+        WorkerId worker;
+        MonotonicTime from{};
+        MonotonicTime to = NeverDue;
+        TaskState state = TaskState::Running;
+    };
+
+    static inline const DataCentreId DataCentre{"dc1"};
+
+    CoreWorld()
+    {
+        organisation.id = OrganisationId("org");
+        core = makeCore("s1");
+    }
+
+    std::unique_ptr<SchedulerCore> makeCore(const std::string &instance)
+    {
+        CoreSettings settings;
+        settings.dataCentre = DataCentre;
+        settings.instance = InstanceId(instance);
+        settings.reportTo = instance;
+        settings.timing = timing;
+        auto makeHooks = [] {
+            auto library = std::make_shared<decision::Scheduler>(*decision::makePolicy("corianderscale"));
+            return DecisionHooks{
+                [library](const decision::Event &event, MonotonicTime now) { return library->handle(event, now); },
+                [library] {
+                    return library->nextTick();
+                }};
+        };
+        return std::make_unique<SchedulerCore>(
+            settings, makeHooks, [this](const CoreEvent &event) { events.push_back(event); });
+    }
+
+    void addWorker(const std::string &id, std::int64_t accelerators = 8, bool failAll = false)
+    {
+        WorkerInfo info;
+        info.id = WorkerId(id);
+        info.incarnation = InstanceId(fmt::format("{}-{}", id, ++m_incarnations));
+        info.dataCentre = DataCentre;
+        info.rack = RackId("r1");
+        info.position = static_cast<std::int64_t>(workers.size());
+        info.cores = MilliCores(32000);
+        info.memory = MemoryMib(65536);
+        info.accelerators = Accelerators(accelerators);
+        WorkerModelSettings settings;
+        settings.failAll = failAll;
+        settings.usageInterval = std::chrono::seconds(5);
+        workers.insert_or_assign(WorkerId(id), std::make_unique<WorkerModel>(info, settings));
+    }
+
+    /** The worker's machine fails: its tasks end with it and it does not answer. */
+    void killWorker(const std::string &id)
+    {
+        endRunsOf(WorkerId(id));
+        workers.erase(WorkerId(id));
+    }
+
+    void restartWorker(const std::string &id)
+    {
+        endRunsOf(WorkerId(id));
+        addWorker(id);
+    }
+
+    JobId submit(const std::string &name, std::int64_t tasks, const std::string &command, std::int64_t accelerators = 1)
+    {
+        JobRecord record;
+        record.id = JobId("dc1-" + name);
+        record.dataCentre = DataCentre;
+        record.organisation = organisation.id;
+        record.caller = CallerId("caller");
+        record.spec.kind = "test";
+        record.spec.tasks = tasks;
+        record.spec.cores = MilliCores(1000);
+        record.spec.memory = MemoryMib(1024);
+        record.spec.accelerators = Accelerators(accelerators);
+        record.spec.command = command;
+        record.spec.canCheckpoint = command.find("checkpoint=yes") != std::string::npos;
+        record.submittedUnixMs = toUnixMs(at().wallNow);
+        putRow(record, RowVersion());
+        if (core) {
+            core->jobSeen(record, rowVersion(record.id), at());
+            flush();
+        }
+        return record.id;
+    }
+
+    void cancel(const JobId &job)
+    {
+        JobRecord record = row(job);
+        record.cancelRequested = true;
+        putRow(record, rowVersion(job));
+        if (core) {
+            core->jobSeen(record, rowVersion(job), at());
+            flush();
+        }
+    }
+
+    JobRecord row(const JobId &job) const
+    {
+        ProtocolError error;
+        return *decodeMessage<JobRecord>(table.read({{jobRowKey(DataCentre, job)}}).rows.front().value, error);
+    }
+
+    RowVersion rowVersion(const JobId &job) const
+    {
+        return table.read({{jobRowKey(DataCentre, job)}}).rows.front().version;
+    }
+
+    std::vector<std::pair<UsageRecord, RowVersion>> usageRows() const
+    {
+        std::vector<std::pair<UsageRecord, RowVersion>> rows;
+        ProtocolError error;
+        for (const TableRow &row : table.scan({"usage/", "", 1000}).rows) {
+            rows.emplace_back(*decodeMessage<UsageRecord>(row.value, error), row.version);
+        }
+        return rows;
+    }
+
+    /** A new owner with what the table holds. The old core, if kept alive by the caller, goes on in @p former. */
+    void takeOver(const std::string &instance)
+    {
+        if (core) {
+            lastSnapshot = core->snapshot();
+        }
+        core = makeCore(instance);
+        Takeover state;
+        state.epoch = Epoch(++epoch);
+        ProtocolError error;
+        for (const TableRow &row : table.scan({"jobs/", "", 1000}).rows) {
+            state.jobs.emplace_back(*decodeMessage<JobRecord>(row.value, error), row.version);
+        }
+        state.usage = usageRows();
+        state.snapshot = lastSnapshot;
+        state.organisations = {organisation};
+        core->takeOver(state, at());
+        lookUpWorkers();
+        core->workersListed(at());
+        flush();
+    }
+
+    void lookUpWorkers()
+    {
+        for (const auto &[id, worker] : workers) {
+            core->workerSeen(worker->info(), "http://" + id.value(), at());
+        }
+    }
+
+    Instant at() const
+    {
+        return {now, WallTime(std::chrono::hours(24 * 365 * 50)) + now.time_since_epoch()};
+    }
+
+    /** Moves time in steps and lets everything act. */
+    void advance(Duration time, Duration step = std::chrono::milliseconds(100))
+    {
+        for (Duration passed{}; passed < time; passed += step) {
+            now += step;
+            deliver();
+            for (auto &[id, worker] : workers) {
+                worker->advance(now);
+                readLedger(*worker);
+                const std::optional<WorkerReport> report = worker->takeReport(now);
+                if (report && core && faultOf(id.value(), {}) == LinkFault::None) {
+                    core->reportReceived(*report, at());
+                }
+            }
+            if (core) {
+                core->tick(at());
+            }
+            flush();
+            check();
+        }
+    }
+
+    /** Carries out what the core wants until it wants nothing more. */
+    void flush()
+    {
+        for (int round = 0; core && round < 100; ++round) {
+            const std::vector<WorkerRequest> requests = core->takeRequests(at());
+            const std::vector<StoreWrite> writes = core->takeWrites(at());
+            const std::vector<JobId> reads = core->takeReads();
+            for (const StoreWrite &write : writes) {
+                carryOut(write);
+            }
+            for (const WorkerRequest &request : requests) {
+                carryOut(request);
+            }
+            for (const JobId &job : reads) {
+                core->jobSeen(row(job), rowVersion(job), at());
+            }
+            if (requests.empty() && writes.empty() && reads.empty()) {
+                return;
+            }
+        }
+    }
+
+    /** Tasks of the job that run now. */
+    std::vector<Run> running(const JobId &job) const
+    {
+        std::vector<Run> found;
+        std::copy_if(runs.begin(), runs.end(), std::back_inserter(found), [&job](const Run &run) {
+            return run.job == job && run.to == NeverDue;
+        });
+        return found;
+    }
+
+    std::size_t startsOf(const JobId &job) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(runs.begin(), runs.end(), [&job](const Run &run) { return run.job == job; }));
+    }
+
+    /** Accelerator time of all ended runs that their workers reported as ended. */
+    std::int64_t acceleratorMsInRows() const
+    {
+        std::int64_t total = 0;
+        for (const auto &[row, version] : usageRows()) {
+            for (const auto &[caller, usage] : row.usage) {
+                total += usage.guaranteed.acceleratorMs + usage.borrowed.acceleratorMs;
+            }
+        }
+        return total;
+    }
+
+    SchedulerTiming timing;
+    MonotonicTime now{std::chrono::seconds(1000)};
+    decision::OrganisationPolicy organisation;
+    TableModel table;
+    std::map<WorkerId, std::unique_ptr<WorkerModel>> workers;
+    std::unique_ptr<SchedulerCore> core;
+    std::optional<Snapshot> lastSnapshot;
+    std::int64_t epoch = 0;
+    FaultHook faults;
+    std::vector<CoreEvent> events;
+    std::vector<Run> runs;
+    /** Promises that did not hold. */
+    std::vector<std::string> violations;
+
+private:
+    struct Delayed {
+        MonotonicTime due;
+        SchedulerCore *to = nullptr;
+        WorkerRequest request;
+    };
+
+    LinkFault faultOf(const std::string &target, const std::vector<WorkerOrder> &orders) const
+    {
+        return faults ? faults(target, orders) : LinkFault::None;
+    }
+
+    void putRow(const JobRecord &record, RowVersion version)
+    {
+        const std::string key = jobRowKey(DataCentre, record.id);
+        TableTransaction transaction;
+        transaction.operation = OperationId(randomHex(8));
+        transaction.conditions.push_back({key, version});
+        transaction.puts.push_back({key, encodeMessage(record)});
+        table.commit(transaction, now);
+    }
+
+    void carryOut(const StoreWrite &write)
+    {
+        const LinkFault fault = faultOf("table", {});
+        if (fault == LinkFault::NotSent || fault == LinkFault::RequestLost) {
+            core->writeDone(write.kind, write.unit, WriteOutcome::Unknown, {}, at());
+            return;
+        }
+        const TableTransactionResult result = table.commit(write.transaction, now);
+        const WriteOutcome outcome = fault == LinkFault::AnswerLost ? WriteOutcome::Unknown
+            : result.committed                                      ? WriteOutcome::Committed
+                                                                    : WriteOutcome::Conflict;
+        core->writeDone(write.kind, write.unit, outcome, result.version, at());
+    }
+
+    void carryOut(const WorkerRequest &request)
+    {
+        const auto worker = workers.find(request.worker);
+        const LinkFault fault
+            = worker == workers.end() ? LinkFault::NotSent : faultOf(request.worker.value(), request.orders.orders);
+        if (fault == LinkFault::NotSent) {
+            core->workerAnswered(request.worker, request.id, std::nullopt, true, at());
+            return;
+        }
+        std::optional<WorkerReport> report;
+        if (fault != LinkFault::RequestLost) {
+            report = worker->second->handle(request.orders, now, at().wallNow);
+            readLedger(*worker->second);
+        }
+        if (fault == LinkFault::None) {
+            core->workerAnswered(request.worker, request.id, report, false, at());
+            return;
+        }
+        m_delayed.push_back({request.deadline, core.get(), request});
+    }
+
+    void deliver()
+    {
+        std::vector<Delayed> due;
+        std::erase_if(m_delayed, [&](const Delayed &item) {
+            if (item.due > now) {
+                return false;
+            }
+            due.push_back(item);
+            return true;
+        });
+        for (const Delayed &item : due) {
+            if (core && item.to == core.get()) {
+                core->workerAnswered(item.request.worker, item.request.id, std::nullopt, false, at());
+            }
+        }
+    }
+
+    void readLedger(WorkerModel &worker)
+    {
+        for (const LedgerEntry &entry : worker.takeLedger()) {
+            if (entry.started) {
+                const std::int64_t attempt = parseTaskId(entry.task)->attempt;
+                runs.push_back({entry.job, attempt, entry.task, worker.info().id, entry.at});
+                continue;
+            }
+            for (Run &run : runs) {
+                if (run.task == entry.task && run.worker == worker.info().id && run.to == NeverDue) {
+                    run.to = entry.at;
+                    run.state = entry.state;
+                }
+            }
+        }
+    }
+
+    void endRunsOf(const WorkerId &worker)
+    {
+        for (Run &run : runs) {
+            if (run.worker == worker && run.to == NeverDue) {
+                run.to = now;
+                run.state = TaskState::Stopped;
+            }
+        }
+    }
+
+    /** Checks that hold at every time: one attempt at once, and no part of a gang longer than the bound. */
+    void check()
+    {
+        std::map<JobId, std::int64_t> attempts;
+        for (const Run &run : runs) {
+            if (run.to != NeverDue) {
+                continue;
+            }
+            const auto [found, fresh] = attempts.emplace(run.job, run.attempt);
+            if (found->second != run.attempt) {
+                violations.push_back(fmt::format("{} runs twice at {}", run.job, now.time_since_epoch().count()));
+            }
+        }
+        checkPartialGangs();
+    }
+
+    void checkPartialGangs()
+    {
+        const Duration bound = timing.leaseTerm + timing.stopGrace + timing.requestLimit;
+        std::map<GangKey, MonotonicTime> firstEnd;
+        for (const Run &run : runs) {
+            if (run.to != NeverDue && run.state != TaskState::Succeeded) {
+                auto [found, fresh] = firstEnd.emplace(GangKey{run.job, run.attempt}, run.to);
+                found->second = std::min(found->second, run.to);
+            }
+        }
+        for (const Run &run : runs) {
+            const auto first = firstEnd.find({run.job, run.attempt});
+            if (run.to == NeverDue && first != firstEnd.end() && first->second + bound < now) {
+                violations.push_back(fmt::format("part of {} runs past the bound", run.job));
+            }
+        }
+    }
+
+    std::vector<Delayed> m_delayed;
+    int m_incarnations = 0;
+};
+
+} // namespace coriander
