--- a/include/corianderscale/Scheduler/SchedulerCore.h
+++ b/include/corianderscale/Scheduler/SchedulerCore.h
@@ -231,6 +231,8 @@
     std::vector<WorkerOrder> dueOrders(WorkerEntry &worker, PendingRequest &request, Instant at);
     void addPlainOrders(WorkerEntry &worker, PendingRequest &request, std::vector<WorkerOrder> &orders, Instant at);
     WorkerOrder renewal(const WorkerEntry &worker, Instant at);
+    bool mayRenew(const GangRun &run) const;
+    void heardAgain(WorkerEntry &worker, Instant at);
     void takeAnswer(WorkerEntry &worker, const PendingRequest &request, const WorkerReport &report, Instant at);
     void takeSilence(WorkerEntry &worker, const PendingRequest &request, bool notSent, Instant at);
     void takeTasks(WorkerEntry &worker, const WorkerReport &report, Instant at);
--- a/include/corianderscale/Scheduler/WorkerEntry.h
+++ b/include/corianderscale/Scheduler/WorkerEntry.h
@@ -37,6 +37,8 @@
     /** Whether the decision library counts it. */
     bool joined = false;
     bool lost = false;
+    /** Whether the last request got no answer. Gangs with a task here are not renewed meanwhile. */
+    bool silent = false;
     /** Whether the platform's list no longer has it. */
     bool unlisted = false;
     MonotonicTime lastAnswer{};
--- a/include/corianderscale/Standin/WorkerServer.h
+++ b/include/corianderscale/Standin/WorkerServer.h
@@ -55,7 +55,6 @@
     std::ofstream m_ledger;
     HttpClient m_client;
     HttpServer m_server;
-    bool m_announced = false;
     MonotonicTime m_nextAnnouncement{};
     std::unique_ptr<DutyThread> m_timer;
 };
--- a/lib/Protocol/Records.cpp
+++ b/lib/Protocol/Records.cpp
@@ -289,8 +289,8 @@
 
 Json CountedTask::toJson() const
 {
-    Json json = {
-        {"task", task.value()}, {"guaranteed", guaranteed}, {"sequence", sequence}, {"counted", counted.toJson()}};
+    Json json
+        = {{"task", task.value()}, {"guaranteed", guaranteed}, {"sequence", sequence}, {"counted", counted.toJson()}};
     writeCallerKey(json, caller);
     return json;
 }
@@ -340,8 +340,7 @@
         const CallerKey key = readCallerKey(item);
         record.usage[key] = CallerUsage::fromJson(item);
     });
-    reader.forEachObject("tasks",
-                         [&record](JsonReader &item) { record.tasks.push_back(CountedTask::fromJson(item)); });
+    reader.forEachObject("tasks", [&record](JsonReader &item) { record.tasks.push_back(CountedTask::fromJson(item)); });
     record.reportedUnixMs = reader.integer("reportedUnixMs", 0);
     return record;
 }
--- a/lib/Scheduler/SchedulerCoreDecisions.cpp
+++ b/lib/Scheduler/SchedulerCoreDecisions.cpp
@@ -16,6 +16,9 @@
     using Visitors::operator()...;
 };
 
+template<typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
 constexpr std::array StopReasonNames = {
     std::pair{decision::StopReason::Preempted, "preempted"},
     std::pair{decision::StopReason::Cancelled, "cancelled"},
--- a/lib/Scheduler/SchedulerCoreTakeover.cpp
+++ b/lib/Scheduler/SchedulerCoreTakeover.cpp
@@ -64,6 +64,7 @@
     for (auto &[id, worker] : m_workers) {
         worker.nextContact = at.now;
         worker.lastAnswer = at.now;
+        worker.silent = !worker.address.empty() && !worker.answer;
         if (!worker.address.empty()) {
             join(worker);
         }
--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -236,7 +236,7 @@
                 tasks.push_back(member.task);
             }
         }
-        if (gang.run.renewable()) {
+        if (mayRenew(gang.run)) {
             gang.run.renewalSent(worker.info.id, at.now);
         } else {
             excepted.insert(key.first);
@@ -252,6 +252,25 @@
     return order;
 }
 
+bool SchedulerCore::mayRenew(const GangRun &run) const
+{
+    // Whole or not at all: while one member may be gone, the others are not kept running beyond their leases.
+    return run.renewable() && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
+               const auto worker = m_workers.find(member.worker);
+               return member.state == MemberState::Running && worker != m_workers.end() && worker->second.silent;
+           });
+}
+
+void SchedulerCore::heardAgain(WorkerEntry &worker, Instant at)
+{
+    worker.silent = false;
+    for (const GangKey &key : worker.gangs) {
+        for (const GangMember &member : m_gangs.at(key).run.members()) {
+            workerOf(member.worker).nextContact = at.now;
+        }
+    }
+}
+
 void SchedulerCore::workerAnswered(
     const WorkerId &id, std::int64_t request, const std::optional<WorkerReport> &report, bool notSent, Instant at)
 {
@@ -274,6 +293,7 @@
 
 void SchedulerCore::takeSilence(WorkerEntry &worker, const PendingRequest &request, bool notSent, Instant at)
 {
+    worker.silent = true;
     worker.nextContact = std::min(worker.nextContact, at.now + m_settings.timing.resendInterval);
     std::set<GangKey> touched;
     for (const OrderReference &order : request.orders) {
@@ -306,6 +326,9 @@
     if (!worker.joined) {
         join(worker);
     }
+    if (worker.silent) {
+        heardAgain(worker, at);
+    }
     for (std::size_t index = 0; index < request.orders.size(); ++index) {
         const OrderReference &order = request.orders[index];
         const OrderResult result = index < report.results.size() ? report.results[index] : OrderResult();
--- /dev/null
+++ b/lib/Scheduler/SchedulerSettings.cpp
@@ -0,0 +1,48 @@
+#include "corianderscale/Scheduler/SchedulerSettings.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+namespace {
+
+constexpr std::int64_t MaximumMs = 3600000;
+
+Duration readMs(YamlMap &settings, const std::string &key, Duration fallback, std::int64_t least)
+{
+    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+    return std::chrono::milliseconds(settings.integer(key, ms, least, MaximumMs));
+}
+
+} // namespace
+
+SchedulerSettings readSchedulerSettings(YamlMap &settings)
+{
+    SchedulerSettings result;
+    result.common = readCommonSettings(settings, "scheduler");
+    SchedulerTiming &timing = result.timing;
+    timing.leaseTerm = readMs(settings, "lease_term_ms", timing.leaseTerm, 1000);
+    timing.renewalInterval = readMs(settings, "renewal_interval_ms", timing.leaseTerm / 3, 100);
+    timing.lostAfter = readMs(settings, "lost_after_ms", timing.renewalInterval * 2, 100);
+    if (timing.renewalInterval * 2 > timing.leaseTerm) {
+        settings.fault("renewal_interval_ms", "expected at most half of lease_term_ms");
+    }
+    if (timing.lostAfter >= timing.leaseTerm) {
+        settings.fault("lost_after_ms", "expected less than lease_term_ms");
+    }
+    timing.requestLimit = std::min(timing.requestLimit, timing.renewalInterval);
+    timing.askLimit = std::min(timing.askLimit, timing.leaseTerm / 3);
+    result.ownershipTerm = readMs(settings, "ownership_term_ms", result.ownershipTerm, 500);
+    if (result.ownershipTerm >= timing.leaseTerm) {
+        settings.fault("ownership_term_ms", "expected less than lease_term_ms, so that leases outlive a change of owner");
+    }
+    result.scanInterval = readMs(settings, "scan_interval_ms", result.scanInterval, 100);
+    result.lookupInterval = readMs(settings, "lookup_interval_ms", result.lookupInterval, 100);
+    result.usageInterval = readMs(settings, "usage_interval_ms", result.usageInterval, 100);
+    result.snapshotInterval = readMs(settings, "snapshot_interval_ms", result.snapshotInterval, 100);
+    result.policy
+        = settings.choice("policy", result.policy, {"corianderscale", "fifo-first-fit", "quota-best-fit"});
+    return result;
+}
+
+} // namespace coriander
--- a/lib/Standin/WorkerServer.cpp
+++ b/lib/Standin/WorkerServer.cpp
@@ -12,8 +12,8 @@
 /** How often timers of tasks are looked at. */
 constexpr Duration StepInterval = std::chrono::milliseconds(10);
 constexpr Duration CallLimit = std::chrono::seconds(2);
-/** A failed announcement is repeated after this time. */
-constexpr Duration AnnouncementInterval = std::chrono::seconds(1);
+/** The platform's stand-in drops a VM from its list that is silent for ten seconds. */
+constexpr Duration AnnouncementInterval = std::chrono::seconds(2);
 /** A whole set of reserves for one worker is far smaller. */
 constexpr std::size_t MaximumOrderBytes = 1024 * 1024;
 
@@ -106,7 +106,7 @@
 {
     std::this_thread::sleep_for(StepInterval);
     pushReport();
-    if (!m_announced && m_nextAnnouncement <= m_clock.now()) {
+    if (m_nextAnnouncement <= m_clock.now()) {
         announce("live");
     }
 }
@@ -146,8 +146,7 @@
     TransportError error;
     const auto response = m_client.call(
         m_settings.platform, postRequest("/vms", encodeMessage(entry)), m_clock.now() + CallLimit, error);
-    m_announced = response && response->status < 300;
-    if (!m_announced) {
+    if (!response || response->status >= 300) {
         logEvent(LogLevel::Warning,
                  "announcement-failed",
                  {{"platform", m_settings.platform},
