--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 namespace coriander {
@@ -164,7 +165,7 @@
     }
 
     template<typename Action>
-    auto locked(const Action &action)
+    std::invoke_result_t<const Action &> locked(const Action &action)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         return action();
