--- a/include/corianderscale/Decision/Job.h
+++ b/include/corianderscale/Decision/Job.h
@@ -44,9 +44,11 @@
     bool hasCheckpoint = false;
     bool cancelRequested = false;
     bool riskReported = false;
-    bool probe = false;
+    /** The worker in quarantine that this job probes. */
+    std::optional<WorkerIndex> probe;
     MonotonicTime startedAt{};
     MonotonicTime checkpointedAt{};
+    MonotonicTime checkpointAskedAt{};
     /** Run time kept by checkpoints of earlier attempts. */
     Duration attained{};
     StopReason stopReason = StopReason::Preempted;
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Transport/HttpClient.h"
 
+#include "corianderscale/Support/HybridClock.h"
 #include "corianderscale/Transport/DutyThread.h"
 
 #include <cpprest/http_client.h>
@@ -23,11 +24,22 @@
 /** How long the deadline thread sleeps when nothing is pending. */
 constexpr Duration IdleWait = std::chrono::milliseconds(200);
 
+/** Encodes a path and keeps `%2F`, by which callers put a slash inside one part of the path. */
+std::string encodePath(const std::string &path)
+{
+    const std::string kept = "%252F";
+    std::string encoded = web::uri::encode_uri(path, web::uri::components::path);
+    for (std::size_t at = encoded.find(kept); at != std::string::npos; at = encoded.find(kept, at)) {
+        encoded.replace(at, kept.size(), "%2F");
+    }
+    return encoded;
+}
+
 web::http::http_request convertRequest(const HttpRequest &request)
 {
     web::http::http_request message(request.method);
     web::uri_builder uri;
-    uri.set_path(request.path, true);
+    uri.set_path(encodePath(request.path), false);
     for (const auto &[key, value] : request.query) {
         uri.append_query(web::uri::encode_data_string(key) + "=" + web::uri::encode_data_string(value), false);
     }
@@ -35,6 +47,7 @@
     for (const auto &[name, value] : request.headers) {
         message.headers().add(name, value);
     }
+    message.headers().add(HybridTimeHeader, processClock().tick().toText());
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
         message.set_body(std::vector<unsigned char>(request.body.begin(), request.body.end()));
         const std::string type = request.header("Content-Type");
@@ -50,6 +63,9 @@
     for (const auto &[name, value] : message.headers()) {
         response.headers[name] = value;
     }
+    if (const auto time = parseHybridTime(response.header(HybridTimeHeader))) {
+        processClock().observe(*time);
+    }
     response.body.assign(body.begin(), body.end());
     return response;
 }
