--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <type_traits>
 #include <utility>
 
 namespace coriander {
@@ -165,7 +164,7 @@
     }
 
     template<typename Action>
-    std::invoke_result_t<const Action &> locked(const Action &action)
+    auto locked(const Action &action) -> decltype(action())
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         return action();
