--- a/tools/coriander-standin/main.cpp
+++ b/tools/coriander-standin/main.cpp
@@ -17,6 +17,7 @@
 constexpr std::array Subcommands = {
     Subcommand{"platform", "table service, object store and VM list in memory", runPlatform},
     Subcommand{"worker", "a worker that runs tasks as timers", runWorker},
+    Subcommand{"endpoint", "an endpoint that runs requests as timers", runEndpoint},
 };
 
 void printHelp(std::ostream &stream)
