--- a/tools/coriander-standin/Subcommands.h
+++ b/tools/coriander-standin/Subcommands.h
@@ -1,7 +1,8 @@
 #pragma once
 
-/** @name Subcommands of coriander-standin. They take the arguments from their own name on; return an exit code. */
-///@{
+/**
+ * Subcommands of coriander-standin. Each takes its own name as first argument and returns an exit code.
+ */
 int runPlatform(int argc, char **argv);
 int runEndpoint(int argc, char **argv);
-///@}
+int runWorker(int argc, char **argv);
