--- a/lib/Decision/Policies.cpp
+++ b/lib/Decision/Policies.cpp
@@ -43,7 +43,10 @@
     return policy;
 }
 
-/** Every organisation stays inside its quota, or its guarantees when it has no quota; nothing is lent. */
+/**
+ * Every organisation stays inside its quota, or its guarantees when it has no quota; nothing is lent. A job larger than
+ * that bound runs alone, because it would never run otherwise.
+ */
 Policy quotaBestFit()
 {
     Policy policy = fifoFirstFit();
@@ -51,7 +54,8 @@
     policy.chooseWorkers = placeBestFit;
     policy.mayBorrow = [](const LendingInput &input) {
         const std::int64_t bound = input.quota > 0 ? input.quota : input.guaranteed;
-        return bound == 0 || input.heldByOrganisation + gangAccelerators(*input.job) <= bound;
+        return bound == 0 || input.heldByOrganisation == 0
+            || input.heldByOrganisation + gangAccelerators(*input.job) <= bound;
     };
     return policy;
 }
--- /dev/null
+++ b/tools/coriander-policy/main.cpp
@@ -0,0 +1,6 @@
+#include "corianderscale/PolicyBench/CommandLine.h"
+
+int main(int argc, char **argv)
+{
+    return coriander::policybench::runPolicyTool(argc, argv);
+}
