--- a/include/corianderscale/Gateway/GatewayPeers.h
+++ b/include/corianderscale/Gateway/GatewayPeers.h
@@ -37,7 +37,8 @@
 class GatewayPeers
 {
 public:
-    GatewayPeers(GatewayHooks &hooks, InstanceId self, SendPeer send, EndpointDirectory &directory, CounterCopies &copies);
+    GatewayPeers(
+        GatewayHooks &hooks, InstanceId self, SendPeer send, EndpointDirectory &directory, CounterCopies &copies);
 
     /** Takes the members that this instance knows. */
     void setMembers(std::vector<Member> members);
--- a/lib/Gateway/EndpointPoller.cpp
+++ b/lib/Gateway/EndpointPoller.cpp
@@ -31,8 +31,9 @@
             continue;
         }
         // The first interval of an endpoint is shortened at random, which spreads the polls.
-        const Duration wait = isNew ? Duration(static_cast<std::int64_t>(m_hooks.random() % 1000) * m_interval.count() / 1000)
-                                    : m_interval;
+        const Duration wait = isNew
+            ? Duration(static_cast<std::int64_t>(m_hooks.random() % 1000) * m_interval.count() / 1000)
+            : m_interval;
         due->second = now + wait;
         ask(entry);
     }
--- a/lib/Gateway/GatewayCore.cpp
+++ b/lib/Gateway/GatewayCore.cpp
@@ -55,14 +55,18 @@
                   m_retries,
                   m_settings.common.instance,
                   admit,
-                  [this](const InstanceId &gateway) { return m_peers.isLive(gateway); }})
+                  [this](const InstanceId &gateway) {
+                      return m_peers.isLive(gateway);
+                  }})
     , m_jobs({m_hooks,
               store,
               m_counters,
               m_settings.common.dataCentre,
               admit,
               [this] { return m_api.document(); },
-              [this](const DataCentreId &dataCentre, const JobId &job) { m_peers.tellJob(dataCentre, job); }})
+              [this](const DataCentreId &dataCentre, const JobId &job) {
+                  m_peers.tellJob(dataCentre, job);
+              }})
     , m_api(m_requests, m_jobs)
     , m_poller(m_hooks,
                m_directory,
--- a/lib/Gateway/GatewayPeers.cpp
+++ b/lib/Gateway/GatewayPeers.cpp
@@ -33,11 +33,8 @@
 
 } // namespace
 
-GatewayPeers::GatewayPeers(GatewayHooks &hooks,
-                           InstanceId self,
-                           SendPeer send,
-                           EndpointDirectory &directory,
-                           CounterCopies &copies)
+GatewayPeers::GatewayPeers(
+    GatewayHooks &hooks, InstanceId self, SendPeer send, EndpointDirectory &directory, CounterCopies &copies)
     : m_hooks(hooks)
     , m_self(std::move(self))
     , m_send(std::move(send))
@@ -86,8 +83,9 @@
     logEvent(LogLevel::Info, "endpoint-leaving", {{"endpoint", endpoint}});
     const std::string body = toCbor({{"endpoint", endpoint.value()}, {"incarnation", incarnation.value()}});
     for (const Member *gateway : liveGateways()) {
-        m_send(gateway->peerAddress, LeavingEndpointMessage, body, m_hooks.clock.now() + MessageLimit, [](const auto &) {
-        });
+        m_send(
+            gateway->peerAddress, LeavingEndpointMessage, body, m_hooks.clock.now() + MessageLimit, [](const auto &) {
+            });
     }
 }
 
@@ -96,7 +94,7 @@
     const std::string body = toCbor({{"dataCentre", dataCentre.value()}, {"job", job.value()}});
     for (const Member &member : m_members) {
         if (member.role == MemberRole::Scheduler && member.dataCentre == dataCentre && mayLive(member)) {
-            m_send(member.peerAddress, JobHintMessage, body, m_hooks.clock.now() + MessageLimit, [](const auto &) { });
+            m_send(member.peerAddress, JobHintMessage, body, m_hooks.clock.now() + MessageLimit, [](const auto &) {});
         }
     }
 }
@@ -106,7 +104,8 @@
     std::vector<const Member *> gateways = liveGateways();
     // The two gateways after this one in the order of ids, so that copies of one gateway stay in two places.
     std::sort(gateways.begin(), gateways.end(), [this](const Member *left, const Member *right) {
-        return std::pair(left->instance < m_self, left->instance) < std::pair(right->instance < m_self, right->instance);
+        return std::pair(left->instance < m_self, left->instance)
+            < std::pair(right->instance < m_self, right->instance);
     });
     gateways.resize(std::min(gateways.size(), CopiesWanted));
     if (gateways.empty()) {
--- a/lib/Gateway/GatewayRoutes.cpp
+++ b/lib/Gateway/GatewayRoutes.cpp
@@ -16,7 +16,8 @@
     return [&loop, handler = std::move(handler)](
                const HttpRequest &request, const Captures &captures, const HttpRespond &respond) {
         if (!loop.accepts()) {
-            respond(errorResponse({"overloaded", Outcome::Rejected, "the gateway is overloaded; ask again later", 1000}));
+            respond(
+                errorResponse({"overloaded", Outcome::Rejected, "the gateway is overloaded; ask again later", 1000}));
             return;
         }
         loop.post([handler, request, captures, respond] { handler(request, captures, respond); });
@@ -67,7 +68,9 @@
 
 void GatewayMetrics::update(const GatewayNumbers &numbers)
 {
-    const auto number = [](auto value) { return static_cast<double>(value); };
+    const auto number = [](auto value) {
+        return static_cast<double>(value);
+    };
     set("coriander_gateway_queued_urgent_requests", "Urgent requests that wait", number(numbers.queuedUrgent));
     set("coriander_gateway_queued_normal_requests", "Normal requests that wait", number(numbers.queuedNormal));
     set("coriander_gateway_queued_background_requests",
--- a/lib/Scheduler/PlacementDuty.cpp
+++ b/lib/Scheduler/PlacementDuty.cpp
@@ -37,7 +37,8 @@
     , m_clock(std::move(clock))
     , m_outputs(std::move(outputs))
     , m_inputs(InputCapacity)
-    , m_core(coreSettings(settings, std::move(days)), [this] { return makeHooks(); }, m_outputs.event)
+    , m_core(
+          coreSettings(settings, std::move(days)), [this] { return makeHooks(); }, m_outputs.event)
 {
 }
 
--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -255,7 +255,8 @@
 bool SchedulerCore::mayRenew(const GangRun &run) const
 {
     // Whole or not at all: while one member may be gone, the others are not kept running beyond their leases.
-    return run.renewable() && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
+    return run.renewable()
+        && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
                const auto worker = m_workers.find(member.worker);
                return member.state == MemberState::Running && worker != m_workers.end() && worker->second.silent;
            });
--- a/tools/coriander-gateway/main.cpp
+++ b/tools/coriander-gateway/main.cpp
@@ -10,6 +10,8 @@
     program.readSettings = [&settings](coriander::YamlMap &map) {
         settings = coriander::GatewayDaemonSettings::read(map);
     };
-    program.run = [&settings] { return coriander::runGateway(settings); };
+    program.run = [&settings] {
+        return coriander::runGateway(settings);
+    };
     return coriander::runDaemon(argc, argv, program);
 }
