transport: carry hybrid times on peer streams only, and answer timeline queries

Cause: HTTP servers took hybrid times from any caller, so a caller without a token could move a gateway's timeline up to a minute ahead.

Change: the header is taken from authenticated peers only. Every process answers the peer message timeline from its ring through answerTimelineMessage().

--- a/include/corianderscale/Protocol/TimelineMessages.h
+++ b/include/corianderscale/Protocol/TimelineMessages.h
@@ -42,4 +42,12 @@
 /** The events of this process that pass the filter. Thread safety: any thread. */
 ProcessTimeline localTimeline(const InstanceId &instance, const TimelineFilter &filter);
 
+/**
+ * Answers the peer message `timeline` with the events of this process as CBOR. No value when @p message is another one;
+ * empty text when @p body is malformed. Thread safety: any thread.
+ */
+std::optional<std::string> answerTimelineMessage(const std::string &message,
+                                                 const InstanceId &instance,
+                                                 const std::string &body);
+
 } // namespace coriander
--- a/include/corianderscale/Support/HybridClock.h
+++ b/include/corianderscale/Support/HybridClock.h
@@ -58,7 +58,4 @@
 /** The clock of this process; its times stand in the events of the timeline and in messages between processes. */
 HybridClock &processClock();
 
-/** Header that carries hybrid times between our processes. */
-inline constexpr char HybridTimeHeader[] = "Coriander-Time";
-
 } // namespace coriander
--- a/lib/Protocol/TimelineMessages.cpp
+++ b/lib/Protocol/TimelineMessages.cpp
@@ -99,4 +99,21 @@
     return timeline;
 }
 
+std::optional<std::string> answerTimelineMessage(const std::string &message,
+                                                 const InstanceId &instance,
+                                                 const std::string &body)
+{
+    if (message != TimelineMessage) {
+        return std::nullopt;
+    }
+    const Json json = Json::from_cbor(body, true, false);
+    ProtocolError error;
+    const auto query = json.is_discarded() ? std::nullopt : decodeJson<TimelineQuery>(json, error);
+    if (!query) {
+        return std::string();
+    }
+    const std::vector<std::uint8_t> reply = Json::to_cbor(localTimeline(instance, query->filter).toJson());
+    return std::string(reply.begin(), reply.end());
+}
+
 } // namespace coriander
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -1,6 +1,5 @@
 #include "corianderscale/Transport/HttpClient.h"
 
-#include "corianderscale/Support/HybridClock.h"
 #include "corianderscale/Transport/DutyThread.h"
 
 #include <cpprest/http_client.h>
@@ -47,7 +46,6 @@
     for (const auto &[name, value] : request.headers) {
         message.headers().add(name, value);
     }
-    message.headers().add(HybridTimeHeader, processClock().tick().toText());
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
         message.set_body(std::vector<unsigned char>(request.body.begin(), request.body.end()));
         const std::string type = request.header("Content-Type");
@@ -63,9 +61,6 @@
     for (const auto &[name, value] : message.headers()) {
         response.headers[name] = value;
     }
-    if (const auto time = parseHybridTime(response.header(HybridTimeHeader))) {
-        processClock().observe(*time);
-    }
     response.body.assign(body.begin(), body.end());
     return response;
 }
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -1,6 +1,5 @@
 #include "corianderscale/Transport/HttpServer.h"
 
-#include "corianderscale/Support/HybridClock.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/DutyThread.h"
 
@@ -73,17 +72,6 @@
     return true;
 }
 
-void observeTime(const web::http::http_request &message)
-{
-    const auto header = message.headers().find(HybridTimeHeader);
-    if (header == message.headers().end()) {
-        return;
-    }
-    if (const auto time = parseHybridTime(header->second)) {
-        processClock().observe(*time);
-    }
-}
-
 HttpRequest convertRequest(const web::http::http_request &message)
 {
     HttpRequest request;
@@ -176,7 +164,6 @@
     {
         const auto exchange = std::make_shared<Exchange>();
         exchange->message = message;
-        observeTime(message);
         exchange->receiveDeadline = m_clock.now() + std::chrono::seconds(m_limits.receiveTimeoutSeconds);
         if (m_inProgress.fetch_add(1) >= m_limits.maximumRequests) {
             answer(exchange, jsonResponse(503, errorJson("overloaded", "too many requests in progress; retry later")));
@@ -264,7 +251,6 @@
         for (const auto &[name, value] : response.headers) {
             reply.headers().add(name, value);
         }
-        reply.headers().add(HybridTimeHeader, processClock().tick().toText());
         reply.set_body(std::vector<unsigned char>(response.body.begin(), response.body.end()));
         const std::string type = response.header("Content-Type");
         reply.headers().set_content_type(type.empty() ? "application/octet-stream" : type);
--- a/lib/Transport/PeerSession.cpp
+++ b/lib/Transport/PeerSession.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Transport/PeerSession.h"
 
+#include "corianderscale/Support/HybridClock.h"
 #include "corianderscale/Transport/PeerMessage.h"
 
 #include <fmt/format.h>
@@ -14,6 +15,8 @@
 
 namespace {
 
+/** Carries the hybrid time of the sender, so that the timeline shows causes before effects. */
+constexpr const char *TimeHeader = "coriander-time";
 constexpr const char *PathPrefix = "/peer/";
 constexpr const char *HelloPath = "/peer/hello";
 constexpr const char *ProvePath = "/peer/prove";
@@ -175,6 +178,7 @@
     std::int32_t submitRequest(const std::string &path, const PeerHeaders &extra, std::string body, PeerReply done)
     {
         PeerHeaders headers{{":method", "POST"}, {":scheme", "http"}, {":path", path}, {":authority", "peer"}};
+        headers.emplace_back(TimeHeader, processClock().tick().toText());
         headers.insert(headers.end(), extra.begin(), extra.end());
         const std::vector<nghttp2_nv> list = headerFields(headers);
         const nghttp2_data_provider data = provider();
@@ -194,6 +198,7 @@
     void respond(std::int32_t id, const char *status, const PeerHeaders &extra, std::string body)
     {
         PeerHeaders headers{{":status", status}};
+        headers.emplace_back(TimeHeader, processClock().tick().toText());
         headers.insert(headers.end(), extra.begin(), extra.end());
         const std::vector<nghttp2_nv> list = headerFields(headers);
         PeerMessage &stream = m_streams[id];
@@ -221,6 +226,7 @@
         } else if (!m_authenticated || path.rfind(PathPrefix, 0) != 0 || path == HelloPath || path == ProvePath) {
             reject(id, "the peer sent a message that its state does not allow");
         } else {
+            observeTime(stream);
             const std::string body = std::exchange(stream.received, {});
             std::string reply = m_handler(path.substr(std::strlen(PathPrefix)), m_challenge.client, body);
             if (reply.size() > m_settings.maximumMessageBytes || bufferedBytes() > bufferLimit()) {
@@ -231,6 +237,14 @@
         }
     }
 
+    /** Takes the peer's hybrid time into account; called only for peers that proved the key. */
+    static void observeTime(const PeerMessage &stream)
+    {
+        if (const auto time = parseHybridTime(stream.header(TimeHeader))) {
+            processClock().observe(*time);
+        }
+    }
+
     void answerHello(std::int32_t id, const PeerMessage &stream)
     {
         m_challenge.client = InstanceId(stream.header(InstanceHeader));
@@ -277,6 +291,7 @@
                 fail(TransportCode::Unauthenticated, "the peer did not accept our key; compare peer_key on both sides");
             }
         } else if (status == StatusOk) {
+            observeTime(stream);
             stream.finish(std::move(stream.received), {});
         } else {
             stream.finish(std::nullopt, {TransportCode::Broken, "the peer answered with status " + status});
--- a/unittests/Protocol/MessagesTest.cpp
+++ b/unittests/Protocol/MessagesTest.cpp
@@ -87,5 +87,24 @@
     EXPECT_EQ(merged[2].event.event, "job-seen");
 }
 
+// Guards against a malformed query of a peer ending the process, and against the reply losing events.
+TEST(Messages, timelineQueryIsAnswered)
+{
+    const InstanceId instance("scheduler-1");
+    EXPECT_FALSE(answerTimelineMessage("gossip", instance, {}));
+    EXPECT_EQ(answerTimelineMessage(TimelineMessage, instance, "\xff\x00"), std::string());
+    processEvents().add({{1, 0}, "job-placed", {{"job", "j-answered"}}});
+    TimelineQuery query;
+    query.filter.id = "j-answered";
+    const std::vector<std::uint8_t> body = Json::to_cbor(query.toJson());
+    const auto reply = answerTimelineMessage(TimelineMessage, instance, std::string(body.begin(), body.end()));
+    ASSERT_TRUE(reply);
+    ProtocolError error;
+    const auto timeline = decodeJson<ProcessTimeline>(Json::from_cbor(*reply), error);
+    ASSERT_TRUE(timeline) << error.reason;
+    ASSERT_EQ(timeline->events.size(), 1U);
+    EXPECT_EQ(timeline->events[0].event, "job-placed");
+}
+
 } // namespace
 } // namespace coriander
