--- a/include/corianderscale/Scheduler/PlacementDuty.h
+++ b/include/corianderscale/Scheduler/PlacementDuty.h
@@ -26,6 +26,8 @@
     std::function<void(Snapshot snapshot)> snapshot;
     /** Ownership has to be given up. */
     std::function<void(const std::string &reason)> stepDown;
+    /** The epoch that may be used now, if any; nothing is sent or written without it. */
+    std::function<std::optional<Epoch>()> ownedEpoch;
     /** One decision or change. */
     std::function<void(const CoreEvent &event)> event;
 };
@@ -49,7 +51,7 @@
 class PlacementDuty
 {
 public:
-    PlacementDuty(const SchedulerSettings &settings, CivilDays days, Clock clock, PlacementOutputs outputs);
+    PlacementDuty(const SchedulerSettings &settings, Clock clock, PlacementOutputs outputs);
     ~PlacementDuty();
 
     /** Queues an input. Returns false when the ring stays full, which is logged. */
--- a/include/corianderscale/Scheduler/SchedulerCore.h
+++ b/include/corianderscale/Scheduler/SchedulerCore.h
@@ -96,11 +96,13 @@
     void takeOver(Takeover state, Instant at);
     /** Every worker of the platform's list has been looked up: those that are missing are not reachable. */
     void workersListed(Instant at);
-    /** No order is sent at or after this time. */
-    void setTermEnd(MonotonicTime termEnd)
+    /** The epoch of the present ownership, or of the last one. */
+    Epoch epoch() const
     {
-        m_termEnd = termEnd;
+        return m_epoch;
     }
+    /** Days of the totals follow this time zone from now on. */
+    void setDays(const CivilDays &days);
     /** Ownership has ended; all state but the list of workers is dropped. */
     void relinquish();
     /** Starts nothing new from now on. */
@@ -258,7 +260,6 @@
     DecisionHooks m_hooks;
     Phase m_phase = Phase::Idle;
     Epoch m_epoch;
-    MonotonicTime m_termEnd = NeverDue;
     bool m_draining = false;
     std::string m_stepDownReason;
     MonotonicTime m_askUntil{};
--- a/include/corianderscale/Scheduler/TakeoverReader.h
+++ b/include/corianderscale/Scheduler/TakeoverReader.h
@@ -16,10 +16,7 @@
  * cannot be read is left out, as rows and workers tell the same. Thread safety: any thread that completes no store
  * calls.
  */
-std::optional<Takeover> readTakeover(Store &store,
-                                     const DataCentreId &dataCentre,
-                                     const CivilDays &days,
-                                     const Clock &clock,
-                                     std::string &reason);
+std::optional<Takeover> readTakeover(
+    Store &store, const DataCentreId &dataCentre, const CivilDays &days, const Clock &clock, std::string &reason);
 
 } // namespace coriander
--- a/include/corianderscale/Scheduler/UsageLedger.h
+++ b/include/corianderscale/Scheduler/UsageLedger.h
@@ -28,6 +28,12 @@
     /** @p interval is the least time between two writes of a worker's rows that nothing waits for. */
     UsageLedger(DataCentreId dataCentre, CivilDays days, Duration interval);
 
+    /** Days follow another time zone from now on. */
+    void setDays(const CivilDays &days)
+    {
+        m_days = days;
+    }
+
     /** Takes a row of an earlier owner. Rows of one worker incarnation may come in any order. */
     void restore(const UsageRecord &row, RowVersion version);
 
--- a/lib/Scheduler/IntakeDuty.cpp
+++ b/lib/Scheduler/IntakeDuty.cpp
@@ -82,8 +82,7 @@
                          logEvent(LogLevel::Warning, "hint-not-read", {{"reason", error.reason}});
                          return;
                      }
-                     std::for_each(
-                         rows->rows.begin(), rows->rows.end(), [this](const TableRow &row) { takeRow(row); });
+                     std::for_each(rows->rows.begin(), rows->rows.end(), [this](const TableRow &row) { takeRow(row); });
                  });
 }
 
@@ -116,8 +115,7 @@
 void IntakeDuty::readDocument()
 {
     CoordinationError error;
-    const auto rows = readAndWait(
-        m_store, {documentHeadKey(m_settings.environment)}, m_clock.now() + ReadLimit, error);
+    const auto rows = readAndWait(m_store, {documentHeadKey(m_settings.environment)}, m_clock.now() + ReadLimit, error);
     if (!rows || rows->rows.front().version == RowVersion()) {
         return;
     }
--- /dev/null
+++ b/lib/Scheduler/OwnershipDuty.cpp
@@ -0,0 +1,116 @@
+#include "corianderscale/Scheduler/OwnershipDuty.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+constexpr Duration StepInterval = std::chrono::milliseconds(50);
+/** Renewals in a term, so that one lost write does not end it. */
+constexpr int RenewalsInTerm = 3;
+
+} // namespace
+
+OwnershipDuty::OwnershipDuty(const SchedulerSettings &settings, Store &store, Clock clock, OwnershipOutputs outputs)
+    : m_store(store)
+    , m_clock(std::move(clock))
+    , m_outputs(std::move(outputs))
+{
+    m_settings.dataCentre = settings.common.dataCentre;
+    m_settings.instance = settings.common.instance;
+    m_settings.address = settings.common.listen;
+    m_settings.peerAddress = settings.common.peerListen;
+    m_settings.term = settings.ownershipTerm;
+    m_settings.renewEvery = std::min(m_settings.renewEvery, settings.ownershipTerm / RenewalsInTerm);
+    m_settings.readEvery = std::min(m_settings.readEvery, settings.ownershipTerm / RenewalsInTerm);
+    m_settings.margin = std::max(m_settings.margin, settings.ownershipTerm / 100);
+    m_ownership = make();
+}
+
+OwnershipDuty::~OwnershipDuty()
+{
+    stop();
+}
+
+std::shared_ptr<Ownership> OwnershipDuty::make()
+{
+    Ownership::Hooks hooks = ownershipHooks(m_store);
+    hooks.acquired = [this](Epoch epoch) {
+        logEvent(LogLevel::Info, "ownership-acquired", {{"epoch", epoch}});
+        m_outputs.acquired(epoch);
+    };
+    hooks.lost = [this](Epoch epoch, const std::string &reason) {
+        logEvent(LogLevel::Warning, "ownership-lost", {{"epoch", epoch}, {"reason", reason}});
+        m_outputs.lost(reason);
+    };
+    return std::make_shared<Ownership>(m_settings, std::move(hooks));
+}
+
+void OwnershipDuty::start()
+{
+    m_thread = std::make_unique<DutyThread>("ownership", [this] { step(); });
+}
+
+void OwnershipDuty::stop()
+{
+    m_thread.reset();
+}
+
+std::shared_ptr<Ownership> OwnershipDuty::current() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_ownership;
+}
+
+std::optional<Epoch> OwnershipDuty::ownedEpoch() const
+{
+    return current()->ownedEpoch(m_clock.now());
+}
+
+std::optional<OwnerRecord> OwnershipDuty::owner() const
+{
+    return current()->owner();
+}
+
+void OwnershipDuty::stepDown(const std::string &reason)
+{
+    logEvent(LogLevel::Error, "ownership-step-down", {{"reason", reason}});
+    m_stepDown = true;
+}
+
+void OwnershipDuty::release()
+{
+    m_release = true;
+}
+
+bool OwnershipDuty::released() const
+{
+    return m_released;
+}
+
+void OwnershipDuty::step()
+{
+    std::this_thread::sleep_for(StepInterval);
+    const MonotonicTime now = m_clock.now();
+    const std::shared_ptr<Ownership> ownership = current();
+    if (m_stepDown || m_release) {
+        ownership->release(now);
+    }
+    ownership->step(now);
+    if (!ownership->released()) {
+        return;
+    }
+    if (m_release) {
+        m_released = true;
+    } else if (m_stepDown.exchange(false)) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_ownership = make();
+    }
+}
+
+} // namespace coriander
--- a/lib/Scheduler/PeerRenewer.cpp
+++ b/lib/Scheduler/PeerRenewer.cpp
@@ -15,8 +15,7 @@
 
 void PeerRenewer::offer(const Snapshot &snapshot, MonotonicTime now)
 {
-    const bool same
-        = m_snapshot && m_snapshot->epoch == snapshot.epoch && m_snapshot->sequence == snapshot.sequence;
+    const bool same = m_snapshot && m_snapshot->epoch == snapshot.epoch && m_snapshot->sequence == snapshot.sequence;
     if (m_snapshot && !same && !snapshot.isNewerThan(*m_snapshot)) {
         return;
     }
--- a/lib/Scheduler/PlacementDuty.cpp
+++ b/lib/Scheduler/PlacementDuty.cpp
@@ -17,27 +17,27 @@
 constexpr int PostTries = 1000;
 constexpr std::size_t MaximumBatch = 256;
 
-CoreSettings coreSettings(const SchedulerSettings &settings, CivilDays days)
+CoreSettings coreSettings(const SchedulerSettings &settings)
 {
     CoreSettings core;
     core.dataCentre = settings.common.dataCentre;
     core.instance = settings.common.instance;
     core.reportTo = settings.common.listen;
     core.timing = settings.timing;
-    core.days = std::move(days);
     core.usageInterval = settings.usageInterval;
     return core;
 }
 
 } // namespace
 
-PlacementDuty::PlacementDuty(const SchedulerSettings &settings, CivilDays days, Clock clock, PlacementOutputs outputs)
+PlacementDuty::PlacementDuty(const SchedulerSettings &settings, Clock clock, PlacementOutputs outputs)
     : m_policy(settings.policy)
     , m_snapshotInterval(settings.snapshotInterval)
     , m_clock(std::move(clock))
     , m_outputs(std::move(outputs))
     , m_inputs(InputCapacity)
-    , m_core(coreSettings(settings, std::move(days)), [this] { return makeHooks(); }, m_outputs.event)
+    , m_core(
+          coreSettings(settings), [this] { return makeHooks(); }, m_outputs.event)
 {
 }
 
@@ -127,11 +127,14 @@
         m_core.relinquish();
         m_outputs.stepDown(reason);
     }
-    for (StoreWrite &write : m_core.takeWrites(at)) {
-        m_outputs.write(std::move(write));
-    }
-    for (WorkerRequest &request : m_core.takeRequests(at)) {
-        m_outputs.send(std::move(request));
+    const bool mayAct = m_outputs.ownedEpoch() == m_core.epoch();
+    if (mayAct) {
+        for (StoreWrite &write : m_core.takeWrites(at)) {
+            m_outputs.write(std::move(write));
+        }
+        for (WorkerRequest &request : m_core.takeRequests(at)) {
+            m_outputs.send(std::move(request));
+        }
     }
     for (const JobId &job : m_core.takeReads()) {
         m_outputs.read(job);
@@ -140,7 +143,7 @@
     m_counts.gangs = static_cast<std::int64_t>(m_core.gangCount());
     m_counts.workers = static_cast<std::int64_t>(m_core.workers().size());
     m_counts.impairedGuarantees = static_cast<std::int64_t>(m_core.impairedGuarantees().size());
-    m_counts.active = m_core.phase() == SchedulerCore::Phase::Active;
+    m_counts.active = mayAct && m_core.phase() == SchedulerCore::Phase::Active;
     m_counts.settled = m_core.isSettled();
     if (m_counts.active && m_nextSnapshot <= at.now && m_snapshotRevision != m_core.placementRevision()) {
         m_snapshotRevision = m_core.placementRevision();
--- a/lib/Scheduler/Recorder.cpp
+++ b/lib/Scheduler/Recorder.cpp
@@ -95,23 +95,22 @@
                               logEvent(LogLevel::Warning, "snapshot-not-written", {{"reason", error.reason}});
                               return;
                           }
-                          m_store.read({snapshotRowKey(snapshot.dataCentre)},
-                                       m_clock.now() + WriteLimit,
-                                       [this, snapshot](const std::optional<TableRows> &rows,
-                                                        const CoordinationError &) {
-                                           if (rows) {
-                                               nameSnapshot(snapshot, rows->rows.front().version);
-                                           }
-                                       });
+                          m_store.read(
+                              {snapshotRowKey(snapshot.dataCentre)},
+                              m_clock.now() + WriteLimit,
+                              [this, snapshot](const std::optional<TableRows> &rows, const CoordinationError &) {
+                                  if (rows) {
+                                      nameSnapshot(snapshot, rows->rows.front().version);
+                                  }
+                              });
                       });
 }
 
 void Recorder::nameSnapshot(const Snapshot &snapshot, RowVersion version)
 {
     const std::string key = snapshotRowKey(snapshot.dataCentre);
-    const Json value = {{"object", snapshotObjectKey(snapshot)},
-                        {"epoch", snapshot.epoch.count()},
-                        {"sequence", snapshot.sequence}};
+    const Json value
+        = {{"object", snapshotObjectKey(snapshot)}, {"epoch", snapshot.epoch.count()}, {"sequence", snapshot.sequence}};
     TableTransaction transaction;
     transaction.operation = OperationId(randomHex(OperationRandomBytes));
     transaction.conditions.push_back({key, version});
--- a/lib/Scheduler/SchedulerCore.cpp
+++ b/lib/Scheduler/SchedulerCore.cpp
@@ -16,7 +16,6 @@
 void SchedulerCore::relinquish()
 {
     m_phase = Phase::Idle;
-    m_termEnd = NeverDue;
     m_stepDownReason.clear();
     m_gangs.clear();
     m_transient.clear();
@@ -51,6 +50,12 @@
     }
 }
 
+void SchedulerCore::setDays(const CivilDays &days)
+{
+    m_settings.days = days;
+    m_ledger.setDays(days);
+}
+
 void SchedulerCore::jobSeen(const JobRecord &row, RowVersion version, Instant at)
 {
     if (m_phase != Phase::Active) {
@@ -120,7 +125,7 @@
 
 std::vector<StoreWrite> SchedulerCore::takeWrites(Instant at)
 {
-    if (m_phase != Phase::Active || m_termEnd <= at.now) {
+    if (m_phase != Phase::Active) {
         return {};
     }
     std::vector<StoreWrite> writes = m_ledger.takeWrites(at.now, at.wallNow);
--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -119,7 +119,7 @@
 std::vector<WorkerRequest> SchedulerCore::takeRequests(Instant at)
 {
     std::vector<WorkerRequest> requests;
-    if (m_phase == Phase::Idle || m_termEnd <= at.now) {
+    if (m_phase == Phase::Idle) {
         return requests;
     }
     for (auto &[id, worker] : m_workers) {
@@ -255,7 +255,8 @@
 bool SchedulerCore::mayRenew(const GangRun &run) const
 {
     // Whole or not at all: while one member may be gone, the others are not kept running beyond their leases.
-    return run.renewable() && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
+    return run.renewable()
+        && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
                const auto worker = m_workers.find(member.worker);
                return member.state == MemberState::Running && worker != m_workers.end() && worker->second.silent;
            });
--- a/lib/Scheduler/SchedulerSettings.cpp
+++ b/lib/Scheduler/SchedulerSettings.cpp
@@ -34,14 +34,14 @@
     timing.askLimit = std::min(timing.askLimit, timing.leaseTerm / 3);
     result.ownershipTerm = readMs(settings, "ownership_term_ms", result.ownershipTerm, 500);
     if (result.ownershipTerm >= timing.leaseTerm) {
-        settings.fault("ownership_term_ms", "expected less than lease_term_ms, so that leases outlive a change of owner");
+        settings.fault("ownership_term_ms",
+                       "expected less than lease_term_ms, so that leases outlive a change of owner");
     }
     result.scanInterval = readMs(settings, "scan_interval_ms", result.scanInterval, 100);
     result.lookupInterval = readMs(settings, "lookup_interval_ms", result.lookupInterval, 100);
     result.usageInterval = readMs(settings, "usage_interval_ms", result.usageInterval, 100);
     result.snapshotInterval = readMs(settings, "snapshot_interval_ms", result.snapshotInterval, 100);
-    result.policy
-        = settings.choice("policy", result.policy, {"corianderscale", "fifo-first-fit", "quota-best-fit"});
+    result.policy = settings.choice("policy", result.policy, {"corianderscale", "fifo-first-fit", "quota-best-fit"});
     return result;
 }
 
--- a/lib/Scheduler/TakeoverReader.cpp
+++ b/lib/Scheduler/TakeoverReader.cpp
@@ -65,19 +65,15 @@
 
 } // namespace
 
-std::optional<Takeover> readTakeover(Store &store,
-                                     const DataCentreId &dataCentre,
-                                     const CivilDays &days,
-                                     const Clock &clock,
-                                     std::string &reason)
+std::optional<Takeover> readTakeover(
+    Store &store, const DataCentreId &dataCentre, const CivilDays &days, const Clock &clock, std::string &reason)
 {
     Takeover state;
     if (!readRows(store, "jobs/" + dataCentre.value() + "/", clock, state.jobs, reason)) {
         return std::nullopt;
     }
     for (int day = 0; day < UsageDays; ++day) {
-        const std::string prefix
-            = "usage/" + dataCentre.value() + "/" + days.dayBefore(clock.wallNow(), day) + "/";
+        const std::string prefix = "usage/" + dataCentre.value() + "/" + days.dayBefore(clock.wallNow(), day) + "/";
         if (!readRows(store, prefix, clock, state.usage, reason)) {
             return std::nullopt;
         }
--- a/lib/Scheduler/WorkerLink.cpp
+++ b/lib/Scheduler/WorkerLink.cpp
@@ -78,25 +78,23 @@
     message.body = encodeMessage(request.orders);
     const std::string address = request.address;
     const MonotonicTime deadline = request.deadline;
-    m_client.send(address,
-                  message,
-                  deadline,
-                  [this, request = std::move(request)](const std::optional<HttpResponse> &response,
-                                                       const TransportError &error) {
-                      std::optional<WorkerReport> report;
-                      ProtocolError invalid;
-                      if (response && response->status == 200) {
-                          report = decodeMessage<WorkerReport>(response->body, invalid);
-                      }
-                      if (response && !report) {
-                          logEvent(LogLevel::Warning,
-                                   "worker-answer-invalid",
-                                   {{"worker", request.worker},
-                                    {"status", response->status},
-                                    {"reason", invalid.reason}});
-                      }
-                      m_outputs.answered(request, std::move(report), error.code == TransportCode::Unreachable);
-                  });
+    m_client.send(
+        address,
+        message,
+        deadline,
+        [this, request = std::move(request)](const std::optional<HttpResponse> &response, const TransportError &error) {
+            std::optional<WorkerReport> report;
+            ProtocolError invalid;
+            if (response && response->status == 200) {
+                report = decodeMessage<WorkerReport>(response->body, invalid);
+            }
+            if (response && !report) {
+                logEvent(LogLevel::Warning,
+                         "worker-answer-invalid",
+                         {{"worker", request.worker}, {"status", response->status}, {"reason", invalid.reason}});
+            }
+            m_outputs.answered(request, std::move(report), error.code == TransportCode::Unreachable);
+        });
 }
 
 void WorkerLink::lookUp()
