gateway: test claims under faults and generated interleavings

Change: a world of gateways, endpoints and a store in memory, focused tests and a rapidcheck property.

--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -5,6 +5,7 @@
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
+#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
@@ -60,6 +61,7 @@
     GatewayLoop m_loop;
     GatewayHooks m_hooks;
     PeerStreams m_peers;
+    RetryAllowance m_retries;
     GatewayCore m_core;
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
@@ -97,7 +99,10 @@
           [this](const auto &address, const auto &message, std::string body, MonotonicTime deadline, auto done) {
               sendPeer(address, message, std::move(body), deadline, std::move(done));
           },
-          RetryGate{[] { }, [] { return true; }},
+          RetryGate{[this] { m_retries.noteSend(); },
+                    [this] {
+                        return m_retries.spend();
+                    }},
           [](const CallerKey &) { return std::optional<ErrorBody>(); })
     , m_documents(m_hooks,
                   m_store,
@@ -122,14 +127,20 @@
 {
     GatewayHooks hooks;
     hooks.clock = m_clock;
-    hooks.post = [this](std::function<void()> task) { m_loop.post(std::move(task)); };
-    hooks.at = [this](MonotonicTime due, std::function<void()> task) { m_loop.at(due, std::move(task)); };
-    hooks.send = [this](const std::string &address,
-                        const HttpRequest &request,
-                        MonotonicTime deadline,
-                        HttpCompletion done) { m_client.send(address, request, deadline, std::move(done)); };
+    hooks.post = [this](std::function<void()> task) {
+        m_loop.post(std::move(task));
+    };
+    hooks.at = [this](MonotonicTime due, std::function<void()> task) {
+        m_loop.at(due, std::move(task));
+    };
+    hooks.send
+        = [this](const std::string &address, const HttpRequest &request, MonotonicTime deadline, HttpCompletion done) {
+              m_client.send(address, request, deadline, std::move(done));
+          };
     hooks.randomHex = randomHex;
-    hooks.random = [this] { return m_random(); };
+    hooks.random = [this] {
+        return m_random();
+    };
     return hooks;
 }
 
@@ -139,13 +150,12 @@
                              MonotonicTime deadline,
                              std::function<void(std::optional<std::string>)> done)
 {
-    m_peers.send(address,
-                 message,
-                 std::move(body),
-                 deadline,
-                 [done = std::move(done)](std::optional<std::string> reply, const TransportError &) {
-                     done(std::move(reply));
-                 });
+    m_peers.send(
+        address,
+        message,
+        std::move(body),
+        deadline,
+        [done = std::move(done)](std::optional<std::string> reply, const TransportError &) { done(std::move(reply)); });
 }
 
 std::string GatewayDaemon::onPeerMessage(const std::string &message, const std::string &body)
@@ -186,7 +196,7 @@
     request.method = "POST";
     request.path = "/vms";
     request.body = encodeMessage(entry);
-    m_client.send(m_common.platform, request, m_clock.now() + VmListLimit, [](const auto &, const auto &) { });
+    m_client.send(m_common.platform, request, m_clock.now() + VmListLimit, [](const auto &, const auto &) {});
 }
 
 void GatewayDaemon::announceRegularly()
@@ -215,8 +225,7 @@
         }
     });
     logEvent(LogLevel::Info, "started", {{"listen", m_common.listen}, {"data_centre", m_common.dataCentre}});
-    while (!waitForShutdownSignal(std::chrono::seconds(1))) {
-    }
+    while (!waitForShutdownSignal(std::chrono::seconds(1))) { }
     drain();
     logEvent(LogLevel::Info, "stopped");
     return ExitSuccess;
@@ -281,8 +290,7 @@
 {
     GatewayDaemonSettings result;
     result.gateway.common = readCommonSettings(settings, "gateway");
-    result.gateway.queue.maximumQueued
-        = static_cast<std::size_t>(settings.integer("maximum_queued", 2000, 1, 100'000));
+    result.gateway.queue.maximumQueued = static_cast<std::size_t>(settings.integer("maximum_queued", 2000, 1, 100'000));
     result.gateway.queue.maximumPerCaller
         = static_cast<std::size_t>(settings.integer("maximum_queued_per_caller", 500, 1, 100'000));
     result.gateway.pollInterval = std::chrono::milliseconds(settings.integer("endpoint_poll_ms", 2000, 100, 2500));
--- /dev/null
+++ b/unittests/Gateway/ClaimsTest.cpp
@@ -0,0 +1,270 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+
+#include "Gateway/GatewayWorld.h"
+
+namespace coriander {
+namespace {
+
+constexpr auto LongWait = std::chrono::seconds(30);
+
+std::string expectedAnswer(const std::string &service, const std::string &body)
+{
+    return EndpointModel::answerTo(ServiceName(service), contentDigest(body));
+}
+
+class Claims : public ::testing::Test
+{
+protected:
+    Claims()
+    {
+        world.addEndpoint("e1");
+        one = &world.addGateway("gateway-1");
+        two = &world.addGateway("gateway-2");
+        world.advance(std::chrono::milliseconds(100));
+    }
+
+    /** Makes the store fail the n-th commit from now on. */
+    void failCommit(int n, StoreFault fault)
+    {
+        world.store.setFaults([this, n, fault](const std::string &operation, const OperationId &) {
+            return operation == "commit" && ++commits == n ? fault : StoreFault::None;
+        });
+    }
+
+    GatewayWorld world;
+    GatewayWorld::Node *one = nullptr;
+    GatewayWorld::Node *two = nullptr;
+    int commits = 0;
+};
+
+// Guards against two gateways that both run one key.
+TEST_F(Claims, OneOfTwoGatewaysRunsAKey)
+{
+    const auto first = world.post(*one, "confirm", "k", "body");
+    const auto second = world.post(*two, "confirm", "k", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 1);
+    EXPECT_EQ(first->times, 1);
+    EXPECT_EQ(second->times, 1);
+    const auto asked = world.get(*two, "k");
+    world.drainTasks();
+    EXPECT_EQ(asked->response.body, expectedAnswer("confirm", "body"));
+}
+
+// Guards against an answer from the record that differs from the first, and against a second run of a repeated key.
+TEST_F(Claims, ARepeatedKeyIsAnsweredFromTheRecord)
+{
+    const auto first = world.post(*one, "confirm", "k", "body");
+    world.advance(LongWait);
+    const auto again = world.post(*two, "confirm", "k", "body");
+    const auto other = world.post(*two, "confirm", "k", "another body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 1);
+    EXPECT_EQ(again->response.body, first->response.body);
+    EXPECT_EQ(again->response.header(AttemptIdHeader), first->response.header(AttemptIdHeader));
+    EXPECT_EQ(other->error.code, "invalid");
+}
+
+// Guards against callers that read each other's requests.
+TEST_F(Claims, AnotherCallerDoesNotFindTheKey)
+{
+    world.post(*one, "confirm", "k", "body");
+    world.advance(LongWait);
+    const auto asked = world.get(*one, "k", "clerk-token");
+    world.drainTasks();
+    EXPECT_EQ(asked->error.code, "not-found");
+}
+
+// Guards against a send after a claim whose outcome is not known, and against a claim that is never settled.
+TEST_F(Claims, ALostClaimIsReadBackAndRunsOnce)
+{
+    failCommit(1, StoreFault::AnswerLost);
+    const auto told = world.post(*one, "confirm", "k", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 1);
+    EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
+}
+
+TEST_F(Claims, AClaimThatWasNotWrittenIsTruthfullyNotRun)
+{
+    failCommit(1, StoreFault::RequestLost);
+    const auto told = world.post(*one, "confirm", "k", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 0);
+    EXPECT_EQ(told->error.outcome, Outcome::NotRun);
+    // The record says not-run, so the same request may be tried anew.
+    const auto again = world.post(*one, "confirm", "k", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 1);
+    EXPECT_EQ(again->response.body, expectedAnswer("confirm", "body"));
+}
+
+// Guards against an answer that is withheld because its record could not be written.
+TEST_F(Claims, AnAnswerWhoseRecordIsLostIsStillGiven)
+{
+    for (const StoreFault fault : {StoreFault::Away, StoreFault::RequestLost, StoreFault::AnswerLost}) {
+        commits = 0;
+        failCommit(2, fault);
+        const std::string key = "k" + std::to_string(static_cast<int>(fault));
+        const auto told = world.post(*one, "confirm", key, "body");
+        world.advance(LongWait);
+        EXPECT_EQ(told->times, 1);
+        EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
+    }
+    EXPECT_EQ(world.starts, 3);
+}
+
+// Guards against new non-idempotent work, and against silence, while the store is away.
+TEST_F(Claims, StoreAwayRefusesAsNotRun)
+{
+    world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
+    const auto refused = world.post(*one, "confirm", "k", "body");
+    const auto served = world.post(*one, "find", "", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(refused->error.code, "cut-off");
+    EXPECT_EQ(refused->error.outcome, Outcome::NotRun);
+    EXPECT_EQ(served->response.status, 200);
+}
+
+// Guards against a second attempt after a byte may have left: whatever happens to the answer, the endpoint is asked.
+TEST_F(Claims, UncertainAnswersAreSettledByAskingTheEndpoint)
+{
+    int number = 0;
+    for (const EndpointFault fault :
+         {EndpointFault::AnswerLost, EndpointFault::Truncated, EndpointFault::WrongAttempt}) {
+        world.endpointFaults = [fault](const HttpRequest &request) {
+            return request.path.find("/v1/run/") == 0 ? fault : EndpointFault::None;
+        };
+        const auto told = world.post(*one, "confirm", "k" + std::to_string(++number), "body");
+        world.advance(LongWait);
+        EXPECT_EQ(world.starts, number);
+        EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
+    }
+}
+
+// Guards against a `not-run` for a message that is still under way when the endpoint restarts and forgets its fence.
+TEST_F(Claims, ALostMessageIsNotRunOnlyAfterItsStartLimit)
+{
+    world.endpointFaults = [](const HttpRequest &request) {
+        return request.path.find("/v1/run/") == 0 ? EndpointFault::RequestLost : EndpointFault::None;
+    };
+    const auto told = world.post(*one, "confirm", "k", "body");
+    world.advance(std::chrono::milliseconds(1900));
+    EXPECT_EQ(told->times, 0);
+    world.advance(LongWait);
+    EXPECT_EQ(told->error.outcome, Outcome::NotRun);
+    EXPECT_EQ(world.starts, 0);
+}
+
+// Guards against a second run of a request that an endpoint has lost by restarting.
+TEST_F(Claims, ARestartedEndpointMakesTheOutcomeUnknownForGood)
+{
+    const auto told = world.post(*one, "confirm", "k", "body");
+    while (world.starts == 0) {
+        ASSERT_TRUE(world.runOne(0));
+    }
+    world.restartEndpoint("e1");
+    world.advance(LongWait);
+    EXPECT_EQ(told->error.outcome, Outcome::Unknown);
+    const auto again = world.post(*two, "confirm", "k", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(again->error.outcome, Outcome::Unknown);
+    EXPECT_EQ(world.starts, 1);
+}
+
+// Guards against slot-full refusals that are reported or sent on without a new attempt id.
+TEST_F(Claims, ASlotFullRefusalIsRetriedAtAnotherEndpoint)
+{
+    world.addEndpoint("e2");
+    one->core->setVms(world.vms);
+    two->core->setVms(world.vms);
+    world.advance(std::chrono::milliseconds(100));
+    const auto filler = [this](const std::string &id) {
+        for (int i = 0; i < 4; ++i) {
+            const Clock now = world.clock.clock();
+            world.endpoints.at(id).model->run(
+                {AttemptId("filler" + std::to_string(i)), ServiceName("find"), 0, ""}, now.now(), now.wallNow());
+        }
+    };
+    filler("e1");
+    const auto first = world.post(*one, "confirm", "k1", "body");
+    const auto second = world.post(*one, "confirm", "k2", "body");
+    world.advance(LongWait);
+    EXPECT_EQ(world.starts, 2);
+    EXPECT_EQ(first->response.status, 200);
+    EXPECT_EQ(second->response.status, 200);
+}
+
+// Guards P3, P4, P5 and exactly one answer under any order of tasks, faults of store and endpoints, and deaths.
+TEST(ClaimsProperty, AKeyRunsAtMostOnceAndAnswersAreTrue)
+{
+    rc::check([] {
+        GatewayWorld world;
+        world.addEndpoint("e1", 2);
+        world.addEndpoint("e2", 2);
+        std::vector<GatewayWorld::Node *> gateways = {&world.addGateway("gateway-1"), &world.addGateway("gateway-2")};
+        world.advance(std::chrono::milliseconds(50));
+        const int faultShare = *rc::gen::inRange(0, 40);
+        bool healed = false;
+        const auto strikes = [&] {
+            return !healed && *rc::gen::inRange(0, 100) < faultShare;
+        };
+        world.store.setFaults([&](const std::string &, const OperationId &) {
+            return strikes() ? static_cast<StoreFault>(*rc::gen::inRange(1, 4)) : StoreFault::None;
+        });
+        world.endpointFaults = [&](const HttpRequest &) {
+            return strikes() ? static_cast<EndpointFault>(*rc::gen::inRange(1, 6)) : EndpointFault::None;
+        };
+        std::vector<std::pair<GatewayWorld::Node *, std::shared_ptr<GatewayWorld::Told>>> submissions;
+        const int steps = *rc::gen::inRange(5, 60);
+        for (int i = 0; i < steps; ++i) {
+            const int action = *rc::gen::inRange(0, 20);
+            GatewayWorld::Node &node = *gateways[*rc::gen::inRange<std::size_t>(0, gateways.size())];
+            if (action < 3 && submissions.size() < 4 && node.alive) {
+                submissions.emplace_back(&node, world.post(node, "confirm", "k", "body"));
+            } else if (action == 3) {
+                world.kill(node);
+                world.shareMembers();
+            } else if (action == 4) {
+                world.restartEndpoint(*rc::gen::element<std::string>("e1", "e2"));
+            } else if (action < 8) {
+                world.advance(std::chrono::milliseconds(10));
+            } else {
+                world.runOne(*rc::gen::inRange<std::size_t>(0, 100));
+            }
+        }
+        healed = true;
+        world.advance(LongWait, std::chrono::milliseconds(50));
+        GatewayWorld::Node &last = world.addGateway("gateway-3");
+        world.advance(std::chrono::seconds(1));
+        const auto asked = world.get(last, "k");
+        world.advance(LongWait, std::chrono::milliseconds(50));
+
+        RC_ASSERT(world.starts <= 1);
+        RC_ASSERT(asked->times == 1);
+        const std::string whole = expectedAnswer("confirm", "body");
+        for (const auto &[node, told] : submissions) {
+            RC_ASSERT(told->times == 1 || (!node->alive && told->times == 0));
+            if (told->times == 0) {
+                continue;
+            }
+            RC_ASSERT(told->response.status != 200 || told->response.body == whole);
+            // A submission that could not look at the record speaks for itself alone.
+            const bool ownOnly = told->error.code == "cut-off";
+            if (told->response.status != 200 && told->error.outcome != Outcome::Unknown && !ownOnly) {
+                RC_ASSERT(told->startsBefore == 0);
+            }
+        }
+        if (asked->response.status == 200) {
+            RC_ASSERT(world.starts == 1);
+            RC_ASSERT(asked->response.body == whole);
+        } else if (asked->error.outcome == Outcome::NotRun || asked->error.code == "not-found") {
+            RC_ASSERT(world.starts == 0);
+        }
+    });
+}
+
+} // namespace
+} // namespace coriander
