coordination: add membership by gossip

Cause: limits, slot shares and offers need the list of live daemons, also while the platform's list lags or is away. News of a removal only starts a suspicion at a member that saw the other alive, so that a healed partition removes nobody.

--- /dev/null
+++ b/lib/Coordination/Membership.cpp
@@ -0,0 +1,443 @@
+#include "corianderscale/Coordination/Membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace coriander {
+
+namespace {
+
+/** Entries of one message that are sent without news, so that lists that differ become equal in time. */
+constexpr std::size_t RotatedEntries = 2;
+
+/** Contacts of the platform's list that are tried in one round. */
+constexpr std::size_t ContactsPerRound = 4;
+
+/** Each change is passed on this many times the logarithm of the number of members. */
+constexpr double NewsFactor = 3.0;
+
+GossipEntry toEntry(const Member &member)
+{
+    GossipEntry entry;
+    entry.instance = member.instance;
+    entry.role = static_cast<int>(member.role);
+    entry.dataCentre = member.dataCentre;
+    entry.address = member.address;
+    entry.peerAddress = member.peerAddress;
+    entry.state = static_cast<int>(member.state);
+    entry.incarnation = member.incarnation;
+    return entry;
+}
+
+Member toMember(const GossipEntry &entry)
+{
+    Member member;
+    member.instance = entry.instance;
+    member.role = static_cast<MemberRole>(entry.role);
+    member.dataCentre = entry.dataCentre;
+    member.address = entry.address;
+    member.peerAddress = entry.peerAddress;
+    member.state = static_cast<MemberState>(entry.state);
+    member.incarnation = entry.incarnation;
+    return member;
+}
+
+/** News replaces what is known when its incarnation is higher, or its state weighs more at the same incarnation. */
+bool replaces(const Member &news, const Member &known)
+{
+    return news.incarnation > known.incarnation || (news.incarnation == known.incarnation && news.state > known.state);
+}
+
+} // namespace
+
+Membership::Membership(Settings settings, Hooks hooks, RandomUnit random)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_random(std::move(random))
+{
+    m_members[m_settings.self.instance].member = m_settings.self;
+}
+
+void Membership::setContacts(std::vector<std::string> peerAddresses)
+{
+    m_contacts = std::move(peerAddresses);
+}
+
+void Membership::step(MonotonicTime now)
+{
+    endSuspicions(now);
+    contact(now);
+    continueProbe(now);
+    if (!m_probe && now >= m_nextProbe) {
+        m_nextProbe = now + m_settings.probeEvery;
+        startProbe(now);
+    }
+}
+
+void Membership::startProbe(MonotonicTime now)
+{
+    const std::optional<InstanceId> target = nextTarget();
+    if (!target) {
+        return;
+    }
+    const MonotonicTime indirectAt = now + m_settings.probeTime;
+    m_probe = Probe{*target, find(*target)->peerAddress, indirectAt, indirectAt + m_settings.indirectTime};
+    ping(now, *target, m_probe->address, [this, id = *target](MonotonicTime) {
+        if (m_probe && m_probe->target == id) {
+            m_probe.reset();
+        }
+    });
+}
+
+/** The next member of a shuffled list, so that each is probed within a bounded time. */
+std::optional<InstanceId> Membership::nextTarget()
+{
+    for (int round = 0; round < 2; ++round) {
+        while (!m_order.empty()) {
+            const InstanceId target = m_order.back();
+            m_order.pop_back();
+            const Member *member = find(target);
+            if (member != nullptr && member->state != MemberState::Dead) {
+                return target;
+            }
+        }
+        for (const auto &[id, known] : m_members) {
+            if (id != m_settings.self.instance) {
+                m_order.push_back(id);
+            }
+        }
+        for (std::size_t i = m_order.size(); i > 1; --i) {
+            std::swap(m_order[i - 1], m_order[static_cast<std::size_t>(m_random() * static_cast<double>(i))]);
+        }
+    }
+    return std::nullopt;
+}
+
+void Membership::continueProbe(MonotonicTime now)
+{
+    if (!m_probe) {
+        return;
+    }
+    if (!m_probe->indirect && now >= m_probe->indirectAt) {
+        m_probe->indirect = true;
+        askOthers(now);
+    }
+    if (m_probe && now >= m_probe->failsAt) {
+        failProbe(now);
+    }
+}
+
+void Membership::askOthers(MonotonicTime now)
+{
+    std::vector<Member> others;
+    for (const auto &[id, known] : m_members) {
+        if (id != m_settings.self.instance && id != m_probe->target && known.member.state == MemberState::Alive) {
+            others.push_back(known.member);
+        }
+    }
+    for (int i = 0; i < m_settings.indirectProbes && !others.empty(); ++i) {
+        const auto index = static_cast<std::size_t>(m_random() * static_cast<double>(others.size()));
+        const Member helper = others[index];
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+        GossipMessage request = makeMessage(GossipKind::PingRequest, helper.instance);
+        request.target = m_probe->target;
+        request.targetAddress = m_probe->address;
+        m_hooks.send(helper.peerAddress,
+                     encodeGossip(request),
+                     now + m_settings.indirectTime,
+                     [this, address = helper.peerAddress](MonotonicTime time, const std::optional<std::string> &reply) {
+                         takeReply(time, address, reply);
+                     });
+    }
+}
+
+void Membership::failProbe(MonotonicTime now)
+{
+    const Member *known = find(m_probe->target);
+    m_probe.reset();
+    if (known == nullptr) {
+        return;
+    }
+    Member member = *known;
+    if (member.state == MemberState::Alive) {
+        member.state = MemberState::Suspect;
+        change(now, member, true);
+    } else if (member.state == MemberState::Leaving) {
+        // It had announced that it would go; nothing is to be refuted.
+        member.state = MemberState::Dead;
+        change(now, member, true);
+    }
+}
+
+void Membership::ping(MonotonicTime now,
+                      const InstanceId &target,
+                      const std::string &address,
+                      std::function<void(MonotonicTime)> answered)
+{
+    m_hooks.send(
+        address,
+        encodeGossip(makeMessage(GossipKind::Ping, target)),
+        now + m_settings.probeTime + m_settings.indirectTime,
+        [this, address, answered = std::move(answered)](MonotonicTime time, const std::optional<std::string> &reply) {
+            if (takeReply(time, address, reply) && answered) {
+                answered(time);
+            }
+        });
+}
+
+void Membership::contact(MonotonicTime now)
+{
+    if (now < m_nextContact || m_contacts.empty()) {
+        return;
+    }
+    m_nextContact = now + m_settings.contactEvery;
+    std::vector<std::string> unknown;
+    for (const std::string &address : m_contacts) {
+        const bool known = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+            return entry.second.member.peerAddress == address && entry.second.member.state != MemberState::Dead;
+        });
+        if (!known) {
+            unknown.push_back(address);
+        }
+    }
+    for (std::size_t i = 0; i < ContactsPerRound && !unknown.empty(); ++i) {
+        const auto index = static_cast<std::size_t>(m_random() * static_cast<double>(unknown.size()));
+        ping(now, {}, unknown[index], {});
+        unknown.erase(unknown.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+void Membership::endSuspicions(MonotonicTime now)
+{
+    std::vector<Member> ended;
+    std::vector<InstanceId> forgotten;
+    for (const auto &[id, known] : m_members) {
+        if (known.member.state == MemberState::Suspect && now - known.since >= m_settings.suspicionTime) {
+            ended.push_back(known.member);
+        } else if (known.member.state == MemberState::Dead && now - known.since >= m_settings.forgetAfter) {
+            forgotten.push_back(id);
+        }
+    }
+    for (Member &member : ended) {
+        member.state = MemberState::Dead;
+        change(now, member, true);
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const InstanceId &id : forgotten) {
+        m_members.erase(id);
+    }
+}
+
+std::string Membership::handle(MonotonicTime now, const InstanceId &from, const std::string &body)
+{
+    ProtocolError error;
+    const std::optional<GossipMessage> request = decodeGossip(body, error);
+    if (!request) {
+        return {};
+    }
+    merge(now, *request);
+    const Member *sender = find(from);
+    if (sender != nullptr && m_hooks.peerDocument) {
+        m_hooks.peerDocument(sender->peerAddress, request->document);
+    }
+    if (request->kind == GossipKind::PingRequest) {
+        helpProbe(now, from, *request);
+    } else if (request->kind == GossipKind::Confirm && m_probe && m_probe->target == request->target) {
+        m_probe.reset();
+    }
+    return encodeGossip(makeMessage(GossipKind::Ack, from));
+}
+
+void Membership::helpProbe(MonotonicTime now, const InstanceId &asker, const GossipMessage &request)
+{
+    ping(now, request.target, request.targetAddress, [this, asker, target = request.target](MonotonicTime time) {
+        const Member *member = find(asker);
+        if (member == nullptr) {
+            return;
+        }
+        GossipMessage confirm = makeMessage(GossipKind::Confirm, asker);
+        confirm.target = target;
+        m_hooks.send(member->peerAddress,
+                     encodeGossip(confirm),
+                     time + m_settings.indirectTime,
+                     [](MonotonicTime, const std::optional<std::string> &) {});
+    });
+}
+
+bool Membership::takeReply(MonotonicTime now, const std::string &address, const std::optional<std::string> &body)
+{
+    ProtocolError error;
+    const std::optional<GossipMessage> reply = body ? decodeGossip(*body, error) : std::nullopt;
+    if (!reply) {
+        return false;
+    }
+    merge(now, *reply);
+    if (m_hooks.peerDocument) {
+        m_hooks.peerDocument(address, reply->document);
+    }
+    return true;
+}
+
+void Membership::merge(MonotonicTime now, const GossipMessage &message)
+{
+    for (const GossipEntry &entry : message.entries) {
+        if (entry.instance == m_settings.self.instance) {
+            refute(now, entry);
+        } else {
+            mergeEntry(now, entry);
+        }
+    }
+}
+
+void Membership::mergeEntry(MonotonicTime now, const GossipEntry &entry)
+{
+    Member news = toMember(entry);
+    const Member *known = find(entry.instance);
+    if (known == nullptr) {
+        // A removed member is remembered without an event, so that older news of its life is recognised.
+        change(now, news, news.state != MemberState::Dead);
+        return;
+    }
+    if (!replaces(news, *known)) {
+        return;
+    }
+    if (news.state == MemberState::Dead && known->state == MemberState::Alive) {
+        // Others may have lost it in a partition; it gets the time of a suspicion to refute.
+        news.state = MemberState::Suspect;
+    }
+    change(now, news, true);
+}
+
+void Membership::refute(MonotonicTime now, const GossipEntry &entry)
+{
+    Member self = own().member;
+    if (static_cast<MemberState>(entry.state) == self.state || entry.incarnation < self.incarnation) {
+        return;
+    }
+    self.incarnation = entry.incarnation + 1;
+    change(now, self, true);
+}
+
+void Membership::change(MonotonicTime now, const Member &member, bool news)
+{
+    bool tell = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const bool unknown = m_members.count(member.instance) == 0;
+        Known &known = m_members[member.instance];
+        tell = unknown ? member.state != MemberState::Dead : known.member.state != member.state;
+        if (unknown || known.member.state != member.state) {
+            known.since = now;
+        }
+        known.member = member;
+        known.newsLeft = news ? newsCopies() : 0;
+    }
+    if (tell && m_hooks.changed) {
+        m_hooks.changed(member);
+    }
+}
+
+int Membership::newsCopies() const
+{
+    return static_cast<int>(std::ceil(NewsFactor * std::log2(static_cast<double>(m_members.size()) + 1)));
+}
+
+GossipMessage Membership::makeMessage(GossipKind kind, const InstanceId &receiver)
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.document = m_hooks.document ? m_hooks.document() : DocumentVersion();
+    for (const Known *known : selectEntries(receiver)) {
+        message.entries.push_back(toEntry(known->member));
+    }
+    return message;
+}
+
+/** This instance, what the receiver may have to refute, news, and a rotating part of the list. */
+std::vector<const Membership::Known *> Membership::selectEntries(const InstanceId &receiver)
+{
+    std::vector<const Known *> chosen{&own()};
+    const auto add = [&chosen](const Known &known) {
+        if (std::find(chosen.begin(), chosen.end(), &known) == chosen.end()) {
+            chosen.push_back(&known);
+            return true;
+        }
+        return false;
+    };
+    const auto known = m_members.find(receiver);
+    if (known != m_members.end() && known->second.member.state != MemberState::Alive) {
+        add(known->second);
+    }
+    for (auto &[id, entry] : m_members) {
+        if (chosen.size() + RotatedEntries >= MaximumGossipEntries) {
+            break;
+        }
+        if (entry.newsLeft > 0) {
+            --entry.newsLeft;
+            add(entry);
+        }
+    }
+    std::size_t rotated = 0;
+    for (std::size_t i = 0; i < m_members.size() && rotated < RotatedEntries; ++i) {
+        auto next = m_members.upper_bound(m_rotation);
+        next = next == m_members.end() ? m_members.begin() : next;
+        m_rotation = next->first;
+        rotated += add(next->second) ? 1 : 0;
+    }
+    return chosen;
+}
+
+void Membership::leave(MonotonicTime now)
+{
+    Member self = own().member;
+    self.state = MemberState::Leaving;
+    ++self.incarnation;
+    change(now, self, true);
+    for (const Member &member : members()) {
+        if (member.instance != self.instance) {
+            ping(now, member.instance, member.peerAddress, {});
+        }
+    }
+}
+
+std::vector<Member> Membership::members() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<Member> list;
+    for (const auto &[id, known] : m_members) {
+        if (known.member.state != MemberState::Dead) {
+            list.push_back(known.member);
+        }
+    }
+    return list;
+}
+
+int Membership::count(MemberRole role) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto number = std::count_if(m_members.begin(), m_members.end(), [role](const auto &entry) {
+        const Member &member = entry.second.member;
+        return member.role == role && (member.state == MemberState::Alive || member.state == MemberState::Suspect);
+    });
+    return std::max(1, static_cast<int>(number));
+}
+
+Member Membership::self() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_members.at(m_settings.self.instance).member;
+}
+
+const Member *Membership::find(const InstanceId &instance) const
+{
+    const auto known = m_members.find(instance);
+    return known == m_members.end() ? nullptr : &known->second.member;
+}
+
+Membership::Known &Membership::own()
+{
+    return m_members.at(m_settings.self.instance);
+}
+
+} // namespace coriander
