--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Gateway/GatewayDaemon.h"
 
+#include "corianderscale/Coordination/Membership.h"
 #include "corianderscale/Coordination/StoreClient.h"
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Daemon/ShutdownSignals.h"
@@ -20,6 +21,7 @@
 constexpr Duration VmListInterval = std::chrono::seconds(1);
 constexpr Duration VmListLimit = std::chrono::seconds(1);
 constexpr Duration AnnounceInterval = std::chrono::seconds(2);
+constexpr Duration MembershipInterval = std::chrono::milliseconds(100);
 constexpr Duration SignalWait = std::chrono::milliseconds(100);
 constexpr Duration MetricsInterval = std::chrono::seconds(1);
 /** Kept of the drain time for closing the counters. */
@@ -43,8 +45,12 @@
                   std::string body,
                   MonotonicTime deadline,
                   std::function<void(std::optional<std::string>)> done);
-    std::string onPeerMessage(const std::string &message, const std::string &body);
+    std::string onPeerMessage(const std::string &message, const InstanceId &from, const std::string &body);
+    Membership::Settings memberSettings() const;
+    Membership::Hooks memberHooks();
+    void stepMembership();
     void refreshVms();
+    void takeVms(const VmList &list);
     void refreshMetrics();
     void announce(const std::string &state);
     void announceRegularly();
@@ -61,6 +67,9 @@
     GatewayLoop m_loop;
     GatewayHooks m_hooks;
     PeerStreams m_peers;
+    /** Serialises the peer thread and the gateway's thread at the membership. */
+    std::mutex m_membershipMutex;
+    Membership m_membership;
     RetryAllowance m_retries;
     GatewayCore m_core;
     DocumentPoller m_documents;
@@ -89,9 +98,10 @@
     , m_hooks(makeHooks())
     , m_peers({m_common.instance, m_common.peerListen, m_common.peerKey},
               m_clock,
-              [this](const std::string &message, const InstanceId &, const std::string &body) {
-                  return onPeerMessage(message, body);
+              [this](const std::string &message, const InstanceId &from, const std::string &body) {
+                  return onPeerMessage(message, from, body);
               })
+    , m_membership(memberSettings(), memberHooks(), systemRandomUnit())
     , m_core(
           m_settings.gateway,
           m_hooks,
@@ -158,8 +168,12 @@
         [done = std::move(done)](std::optional<std::string> reply, const TransportError &) { done(std::move(reply)); });
 }
 
-std::string GatewayDaemon::onPeerMessage(const std::string &message, const std::string &body)
+std::string GatewayDaemon::onPeerMessage(const std::string &message, const InstanceId &from, const std::string &body)
 {
+    if (message == GossipPeerMessage) {
+        const std::lock_guard<std::mutex> lock(m_membershipMutex);
+        return m_membership.handle(m_clock.now(), from, body);
+    }
     if (m_loop.accepts()) {
         m_loop.post([this, message, body] { m_core.peers().handle(message, body); });
         return GatewayPeers::replyTo(message, body);
@@ -167,11 +181,67 @@
     return {};
 }
 
+Membership::Settings GatewayDaemon::memberSettings() const
+{
+    Membership::Settings settings;
+    settings.self.instance = m_common.instance;
+    settings.self.role = MemberRole::Gateway;
+    settings.self.dataCentre = m_common.dataCentre;
+    settings.self.address = m_common.listen;
+    settings.self.peerAddress = m_common.peerListen;
+    return settings;
+}
+
+Membership::Hooks GatewayDaemon::memberHooks()
+{
+    Membership::Hooks hooks;
+    hooks.send = [this](const std::string &address, std::string body, MonotonicTime deadline, Membership::Reply done) {
+        sendPeer(address,
+                 GossipPeerMessage,
+                 std::move(body),
+                 deadline,
+                 [this, done = std::move(done)](const std::optional<std::string> &reply) {
+                     m_loop.post([this, done, reply, now = m_clock.now()] {
+                         const std::lock_guard<std::mutex> lock(m_membershipMutex);
+                         done(now, reply);
+                     });
+                 });
+    };
+    return hooks;
+}
+
+void GatewayDaemon::stepMembership()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_membershipMutex);
+        m_membership.step(m_clock.now());
+    }
+    const int instances = m_membership.count(MemberRole::Gateway) + m_membership.count(MemberRole::Scheduler);
+    m_store.setLiveInstances(instances);
+    m_core.setMembers(m_membership.members());
+    m_loop.at(m_clock.now() + MembershipInterval, [this] { stepMembership(); });
+}
+
+void GatewayDaemon::takeVms(const VmList &list)
+{
+    std::vector<std::string> contacts;
+    for (const VmEntry &vm : list.vms) {
+        if (vm.role == "entry" && !vm.peerAddress.empty() && vm.peerAddress != m_common.peerListen) {
+            contacts.push_back(vm.peerAddress);
+        }
+    }
+    {
+        const std::lock_guard<std::mutex> lock(m_membershipMutex);
+        m_membership.setContacts(std::move(contacts));
+    }
+    m_core.setVms(list);
+}
+
 void GatewayDaemon::refreshVms()
 {
     m_store.listVms(m_clock.now() + VmListLimit, [this](std::optional<VmList> list, const CoordinationError &) {
         if (list) {
-            m_loop.post([this, list = std::move(*list)] { m_core.setVms(list); });
+            m_loop.post([this, list = std::move(*list)] { takeVms(list); });
         }
     });
     m_loop.at(m_clock.now() + VmListInterval, [this] { refreshVms(); });
@@ -220,6 +290,7 @@
         m_documents.poll();
         refreshVms();
         refreshMetrics();
+        stepMembership();
         if (m_settings.announce) {
             announceRegularly();
         }
@@ -239,7 +310,11 @@
     if (m_settings.announce) {
         announce("leaving");
     }
-    m_loop.postAndWait([this] { m_core.beginDrain(); });
+    m_loop.postAndWait([this] {
+        m_core.beginDrain();
+        const std::lock_guard<std::mutex> lock(m_membershipMutex);
+        m_membership.leave(m_clock.now());
+    });
     bool drained = false;
     while (!drained && m_clock.now() + CloseLimit < limit) {
         m_loop.postAndWait([this, &drained] { drained = m_core.drained(); });
--- /dev/null
+++ b/unittests/Gateway/CountersTest.cpp
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+
+#include "Gateway/GatewayWorld.h"
+
+namespace coriander {
+namespace {
+
+/** Sum of the rows of all gateways for the day, and whether every row is closed. */
+ItemCounts tableTotals(GatewayWorld &world, bool &allClosed)
+{
+    ItemCounts total;
+    allClosed = true;
+    world.store.scan({"counts/", "", 1000}, NeverDue, [&](std::optional<TableRows> rows, const CoordinationError &) {
+        ASSERT_TRUE(rows.has_value());
+        for (const TableRow &row : rows->rows) {
+            ProtocolError error;
+            const auto record = decodeMessage<CountsRecord>(row.value, error);
+            ASSERT_TRUE(record.has_value());
+            allClosed = allClosed && record->closed;
+            for (const auto &[caller, counts] : record->counts) {
+                total += counts;
+            }
+        }
+    });
+    return total;
+}
+
+class Counters : public ::testing::Test
+{
+protected:
+    Counters()
+    {
+        world.addEndpoint("e1", 8);
+        one = &world.addGateway("gateway-1");
+        two = &world.addGateway("gateway-2");
+        world.addGateway("gateway-3");
+        world.advance(std::chrono::milliseconds(100));
+    }
+
+    GatewayWorld world;
+    GatewayWorld::Node *one = nullptr;
+    GatewayWorld::Node *two = nullptr;
+};
+
+// Guards against answers that are released before their count is durable.
+TEST_F(Counters, AnAnswerIsInTheTableWhenItIsReleased)
+{
+    const auto told = world.post(*one, "find", "", "body");
+    while (told->times == 0) {
+        world.advance(std::chrono::milliseconds(10));
+    }
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+}
+
+// Guards against answers that wait for a store that is away, and against counts that die with their gateway.
+TEST_F(Counters, CopiesOfADeadGatewayAreWrittenBack)
+{
+    world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
+    const auto told = world.post(*one, "find", "", "body");
+    world.advance(std::chrono::milliseconds(500));
+    EXPECT_EQ(told->response.status, 200);
+    EXPECT_GE(one->copiesSent, 2);
+    world.kill(*one);
+    world.shareMembers();
+    world.store.setFaults({});
+    world.advance(std::chrono::seconds(3));
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+}
+
+// Guards against counts that are lost or doubled when the answer of a commit is lost.
+TEST_F(Counters, ALostCommitAnswerCountsOnce)
+{
+    int commits = 0;
+    world.store.setFaults([&commits](const std::string &operation, const OperationId &) {
+        return operation == "commit" && ++commits == 1 ? StoreFault::AnswerLost : StoreFault::None;
+    });
+    const auto told = world.post(*one, "find", "", "body");
+    world.advance(std::chrono::seconds(3));
+    EXPECT_EQ(told->times, 1);
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+}
+
+// Guards against a day's row that stays open after midnight of the site, and counts in the wrong day.
+TEST_F(Counters, TheRowOfAPastDayIsClosed)
+{
+    world.post(*one, "find", "", "body");
+    world.advance(std::chrono::seconds(1));
+    world.clock.jumpWall(std::chrono::hours(24));
+    world.advance(std::chrono::seconds(3));
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+    EXPECT_TRUE(closed);
+}
+
+// Guards against refusals that are not counted.
+TEST_F(Counters, RefusalsAreCounted)
+{
+    world.endpoints.at("e1").up = false;
+    const auto told = world.post(*one, "find", "", "body");
+    world.advance(std::chrono::seconds(10));
+    EXPECT_EQ(told->error.outcome, Outcome::NotRun);
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).refusedNotRun, 1);
+}
+
+// Guards P7 and the totals: a drain answers everything in progress and leaves closed rows.
+TEST_F(Counters, ADrainAnswersAllAndClosesTheRows)
+{
+    std::vector<std::shared_ptr<GatewayWorld::Told>> told;
+    for (int i = 0; i < 6; ++i) {
+        told.push_back(world.post(*one, i % 2 == 0 ? "find" : "confirm", "k" + std::to_string(i), "body"));
+    }
+    one->core->beginDrain();
+    const auto late = world.post(*one, "find", "", "late");
+    EXPECT_EQ(late->error.outcome, Outcome::Rejected);
+    while (!one->core->drained()) {
+        world.advance(std::chrono::milliseconds(10));
+    }
+    bool all = false;
+    one->core->closeCounters([&all](bool closed) { all = closed; });
+    world.advance(std::chrono::seconds(1));
+    EXPECT_TRUE(all);
+    for (const auto &item : told) {
+        EXPECT_EQ(item->response.status, 200);
+    }
+    bool closed = false;
+    EXPECT_EQ(tableTotals(world, closed).finished, 3);
+    EXPECT_TRUE(closed);
+}
+
+// Guards the totals under any order of store faults and the death of a gateway whose peers live.
+TEST(CountersProperty, EveryReleasedAnswerIsCountedOnce)
+{
+    rc::check([] {
+        GatewayWorld world;
+        world.addEndpoint("e1", 8);
+        for (const char *name : {"gateway-1", "gateway-2", "gateway-3"}) {
+            world.addGateway(name);
+        }
+        world.advance(std::chrono::milliseconds(100));
+        bool healed = false;
+        const int faultShare = *rc::gen::inRange(0, 60);
+        world.store.setFaults([&](const std::string &, const OperationId &) {
+            return !healed && *rc::gen::inRange(0, 100) < faultShare ? static_cast<StoreFault>(*rc::gen::inRange(1, 4))
+                                                                     : StoreFault::None;
+        });
+        std::vector<std::shared_ptr<GatewayWorld::Told>> told;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int i = 0; i < steps; ++i) {
+            const int action = *rc::gen::inRange(0, 10);
+            GatewayWorld::Node &node = *world.nodes[*rc::gen::inRange<std::size_t>(0, 2)];
+            if (action < 5 && node.alive) {
+                told.push_back(world.post(node, "find", "", "body" + std::to_string(i)));
+            } else if (action == 5 && world.nodes[0]->alive) {
+                world.kill(*world.nodes[0]);
+                world.shareMembers();
+            } else {
+                world.advance(std::chrono::milliseconds(*rc::gen::element(10, 50, 300)));
+            }
+        }
+        healed = true;
+        world.advance(std::chrono::seconds(30), std::chrono::milliseconds(50));
+        std::int64_t released = 0;
+        for (const auto &item : told) {
+            RC_ASSERT(item->times <= 1);
+            released += item->times;
+        }
+        bool closed = false;
+        const ItemCounts total = tableTotals(world, closed);
+        const auto sent = static_cast<std::int64_t>(told.size());
+        RC_ASSERT(total.accepted >= released);
+        RC_ASSERT(total.accepted <= sent);
+        RC_ASSERT(total.accepted == total.finished + total.failed + total.refusedNotRun + total.unknown);
+    });
+}
+
+} // namespace
+} // namespace coriander
