--- /dev/null
+++ b/include/corianderscale/Protocol/ConfigurationMessages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "corianderscale/Protocol/Records.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coriander {
+
+/** Peer message `configuration`: an accepted version with its text. Sent as an offer, and as the reply to a request. */
+struct ConfigurationOffer {
+    std::string environment;
+    DocumentHead head;
+    std::string text;
+};
+
+/** Peer message `configuration-request`: asks for the newest version; the reply is an offer or empty. */
+struct ConfigurationRequest {
+    std::string environment;
+};
+
+/** Codecs in CBOR. Thread safety: pure functions. */
+///@{
+std::string encodeConfigurationOffer(const ConfigurationOffer &offer);
+std::optional<ConfigurationOffer> decodeConfigurationOffer(std::string_view bytes, ProtocolError &error);
+std::string encodeConfigurationRequest(const ConfigurationRequest &request);
+std::optional<ConfigurationRequest> decodeConfigurationRequest(std::string_view bytes, ProtocolError &error);
+///@}
+
+/** SHA-256 of a document's text in lower-case hexadecimal digits. Thread safety: pure function. */
+std::string documentDigest(const std::string &text);
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Coordination/Limits.cpp
@@ -0,0 +1,108 @@
+#include "corianderscale/Coordination/Limits.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+namespace {
+
+/** Share of one gateway; a burst below one request would refuse everything. */
+double shareOf(double value, int gateways)
+{
+    return value / gateways;
+}
+
+double burstShare(const RateLimit &limit, int gateways)
+{
+    return std::max(1.0, shareOf(limit.burst, gateways));
+}
+
+Duration timeForOne(const RateLimit &limit, int gateways)
+{
+    return Duration(static_cast<std::int64_t>(1e6 / shareOf(limit.perSecond, gateways)));
+}
+
+} // namespace
+
+Limits::Limits(std::size_t maximumBuckets)
+    : m_maximumBuckets(std::max<std::size_t>(2, maximumBuckets))
+{
+}
+
+void Limits::setLiveGateways(int gateways)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_gateways = std::max(1, gateways);
+}
+
+std::optional<LimitRefusal> Limits::tryTake(MonotonicTime now,
+                                            const OrganisationId &organisation,
+                                            const RateLimit &organisationLimit,
+                                            const CallerId &caller,
+                                            const RateLimit &callerLimit)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Entry *callerEntry = nullptr;
+    if (callerLimit.perSecond > 0) {
+        callerEntry = &entryFor(now, {organisation, caller}, callerLimit);
+        if (!callerEntry->bucket.tryTake(now)) {
+            return LimitRefusal{LimitScope::Caller, timeForOne(callerLimit, m_gateways)};
+        }
+    }
+    if (organisationLimit.perSecond > 0
+        && !entryFor(now, {organisation, CallerId()}, organisationLimit).bucket.tryTake(now)) {
+        if (callerEntry != nullptr) {
+            callerEntry->bucket.giveBack();
+        }
+        return LimitRefusal{LimitScope::Organisation, timeForOne(organisationLimit, m_gateways)};
+    }
+    return std::nullopt;
+}
+
+std::size_t Limits::size() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_entries.size();
+}
+
+Limits::Entry &Limits::entryFor(MonotonicTime now, const Key &key, const RateLimit &limit)
+{
+    auto found = m_entries.find(key);
+    const double perSecond = shareOf(limit.perSecond, m_gateways);
+    const double burst = burstShare(limit, m_gateways);
+    if (found == m_entries.end()) {
+        makeRoom(now);
+        found = m_entries.emplace(key, Entry{TokenBucket(perSecond, burst, now), limit, m_gateways, now}).first;
+    }
+    Entry &entry = found->second;
+    if (entry.limit != limit || entry.gateways != m_gateways) {
+        entry.bucket.setRate(now, perSecond, burst);
+        entry.limit = limit;
+        entry.gateways = m_gateways;
+    }
+    entry.usedAt = now;
+    return entry;
+}
+
+void Limits::makeRoom(MonotonicTime now)
+{
+    if (m_entries.size() < m_maximumBuckets) {
+        return;
+    }
+    // Entries of this moment stay, because the caller of this function may hold one.
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const bool forget = entry->second.usedAt != now && entry->second.bucket.isFull(now);
+        entry = forget ? m_entries.erase(entry) : std::next(entry);
+    }
+    while (m_entries.size() >= m_maximumBuckets) {
+        const auto oldest = std::min_element(m_entries.begin(), m_entries.end(), [](const auto &a, const auto &b) {
+            return a.second.usedAt < b.second.usedAt;
+        });
+        if (oldest->second.usedAt == now) {
+            return;
+        }
+        m_entries.erase(oldest);
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Coordination/RetryBudget.cpp
@@ -0,0 +1,31 @@
+#include "corianderscale/Coordination/RetryBudget.h"
+
+#include <algorithm>
+
+namespace coriander {
+
+RetryBudget::RetryBudget(Settings settings)
+    : m_settings(settings)
+    , m_retries(settings.most)
+{
+}
+
+void RetryBudget::sent()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_retries = std::min(m_settings.most, m_retries + m_settings.share);
+}
+
+bool RetryBudget::tryRetry()
+{
+    // Ten tenths add up to slightly less than one.
+    constexpr double Rounding = 1e-9;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_retries + Rounding < 1.0) {
+        return false;
+    }
+    m_retries -= 1.0;
+    return true;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Protocol/ConfigurationMessages.cpp
@@ -0,0 +1,92 @@
+#include "corianderscale/Protocol/ConfigurationMessages.h"
+
+#include "corianderscale/Protocol/TableMessages.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace coriander {
+
+namespace {
+
+/** Head and text, which is one row of the table, and some room for the other fields. */
+constexpr std::size_t MaximumOfferBytes = MaximumRowValueBytes + 4096;
+
+std::string toCbor(const Json &json)
+{
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::optional<Json> fromCbor(std::string_view bytes, ProtocolError &error)
+{
+    error = {};
+    if (bytes.size() > MaximumOfferBytes) {
+        error = {ProtocolCode::Malformed, "the configuration message is too large"};
+        return std::nullopt;
+    }
+    Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded() || !json.is_object()) {
+        error = {ProtocolCode::Malformed, "the configuration message is not a CBOR map"};
+        return std::nullopt;
+    }
+    return json;
+}
+
+} // namespace
+
+std::string encodeConfigurationOffer(const ConfigurationOffer &offer)
+{
+    return toCbor({{"environment", offer.environment}, {"head", offer.head.toJson()}, {"text", offer.text}});
+}
+
+std::optional<ConfigurationOffer> decodeConfigurationOffer(std::string_view bytes, ProtocolError &error)
+{
+    const std::optional<Json> json = fromCbor(bytes, error);
+    if (!json) {
+        return std::nullopt;
+    }
+    JsonReader reader(*json, {}, error);
+    ConfigurationOffer offer;
+    offer.environment = reader.requiredText("environment");
+    reader.requiredObject("head", [&](JsonReader &head) { offer.head = DocumentHead::fromJson(head); });
+    offer.text = reader.requiredText("text", MaximumRowValueBytes);
+    if (!reader.failed() && documentDigest(offer.text) != offer.head.digest) {
+        reader.fault("text", "expected the text that the digest names");
+    }
+    return reader.failed() ? std::nullopt : std::optional(offer);
+}
+
+std::string encodeConfigurationRequest(const ConfigurationRequest &request)
+{
+    return toCbor({{"environment", request.environment}});
+}
+
+std::optional<ConfigurationRequest> decodeConfigurationRequest(std::string_view bytes, ProtocolError &error)
+{
+    const std::optional<Json> json = fromCbor(bytes, error);
+    if (!json) {
+        return std::nullopt;
+    }
+    JsonReader reader(*json, {}, error);
+    ConfigurationRequest request;
+    request.environment = reader.requiredText("environment");
+    return reader.failed() ? std::nullopt : std::optional(request);
+}
+
+std::string documentDigest(const std::string &text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    constexpr char Digits[] = "0123456789abcdef";
+    std::string hex;
+    for (const unsigned char byte : digest) {
+        hex += Digits[byte >> 4];
+        hex += Digits[byte & 15];
+    }
+    return hex;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/unittests/Coordination/LimitsTest.cpp
@@ -0,0 +1,83 @@
+#include "corianderscale/Coordination/Limits.h"
+
+#include "corianderscale/Coordination/RetryBudget.h"
+
+#include <gtest/gtest.h>
+
+namespace coriander {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonotonicTime Start;
+const OrganisationId Organisation("org");
+const CallerId Small("small");
+const CallerId Large("large");
+
+/** Requests that pass when the caller asks every millisecond for a time. */
+int passed(Limits &limits, MonotonicTime from, Duration time, const RateLimit &organisation, const RateLimit &caller)
+{
+    int count = 0;
+    for (Duration after{}; after < time; after += milliseconds(1)) {
+        count += limits.tryTake(from + after, Organisation, organisation, Large, caller) ? 0 : 1;
+    }
+    return count;
+}
+
+// Guards against n gateways together letting n times the limit through.
+TEST(Limits, rateIsDividedByTheLiveGateways)
+{
+    Limits limits;
+    limits.setLiveGateways(4);
+    EXPECT_NEAR(passed(limits, Start, seconds(10), {}, {40, 4}), 101, 1);
+    limits.setLiveGateways(2);
+    EXPECT_NEAR(passed(limits, Start + seconds(10), seconds(10), {}, {40, 4}), 200, 2);
+}
+
+// Guards against one caller's flood using up what its organisation's other callers are entitled to.
+TEST(Limits, aFloodingCallerIsHeldByItsOwnLimit)
+{
+    Limits limits;
+    const RateLimit organisation{100, 10};
+    passed(limits, Start, seconds(1), organisation, {20, 2});
+    EXPECT_FALSE(limits.tryTake(Start + seconds(1), Organisation, organisation, Small, {20, 2}));
+}
+
+// Guards against a request that the organisation's limit refuses also costing its caller a token.
+TEST(Limits, refusedRequestCostsNothing)
+{
+    Limits limits;
+    EXPECT_FALSE(limits.tryTake(Start, Organisation, {1, 1}, Large, {1, 1}));
+    const auto refusal = limits.tryTake(Start, Organisation, {1, 1}, Small, {1, 1});
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->scope, LimitScope::Organisation);
+    EXPECT_EQ(refusal->retryAfter, seconds(1));
+    EXPECT_FALSE(limits.tryTake(Start, Organisation, {}, Small, {1, 1}));
+}
+
+// Guards against memory that grows with the number of callers ever seen.
+TEST(Limits, bucketsAreBounded)
+{
+    Limits limits(100);
+    for (int i = 0; i < 1000; ++i) {
+        limits.tryTake(Start + milliseconds(i), Organisation, {}, CallerId(std::to_string(i)), {0.001, 1});
+    }
+    EXPECT_LE(limits.size(), 100U);
+}
+
+// Guards against retries multiplying an overload.
+TEST(RetryBudget, retriesStayBelowATenthOfSends)
+{
+    RetryBudget budget({0.1, 10});
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.sent();
+        retries += budget.tryRetry() ? 1 : 0;
+    }
+    EXPECT_LE(retries, 110);
+    EXPECT_GE(retries, 100);
+}
+
+} // namespace
+} // namespace coriander
