decision: judge fairness by what is held now

Cause: a flood had no history and so counted as under-served against callers that had worked before. Change: preemption and headroom compare what organisations and callers hold now with their fair parts among the active ones; history only orders the queue. Small callers of the scenario submit gangs of at most eight.

--- a/include/corianderscale/Decision/FairShare.h
+++ b/include/corianderscale/Decision/FairShare.h
@@ -38,6 +38,8 @@
     CallerId id;
     OrganisationIndex organisation = 0;
     ServiceMeter meter;
+    /** Jobs that wait or run. */
+    std::int64_t jobs = 0;
 };
 
 struct OrganisationShare {
@@ -48,6 +50,10 @@
     std::int64_t accelerators = 0;
     /** Callers with jobs seen. */
     std::int64_t callers = 0;
+    /** Jobs that wait or run. */
+    std::int64_t jobs = 0;
+    /** Callers with jobs that wait or run. */
+    std::int64_t activeCallers = 0;
 };
 
 /**
@@ -77,12 +83,20 @@
     {
         return m_organisations;
     }
+    /** Counts a job as present; @p sign is 1 or -1. Organisations and callers with jobs are active. */
+    void present(const Job &job, std::int64_t sign);
+    /** What the organisation holds now by its fair part among the active ones; 1 is fair. */
+    double heldByOrganisation(OrganisationIndex organisation) const;
+    /** What the caller holds now by its equal part of what its organisation holds or is due; 1 is fair. */
+    double heldByCaller(std::uint32_t caller) const;
+
     /** Service of the organisation divided by its weight. */
     double weighted(OrganisationIndex organisation, MonotonicTime now) const;
 
 private:
     std::vector<OrganisationShare> m_organisations;
     std::vector<CallerShare> m_callers;
+    std::int64_t m_activeWeight = 0;
     std::unordered_map<OrganisationId, OrganisationIndex> m_organisationById;
     std::unordered_map<std::string, std::uint32_t> m_callerById;
     /** Shares charged per job, so that the same amount is taken back when the fleet changed meanwhile. */
--- a/include/corianderscale/Decision/Policy.h
+++ b/include/corianderscale/Decision/Policy.h
@@ -48,9 +48,12 @@
     Duration lost{};
     Duration victimLeft{};
     Duration claimantRun{};
-    /** Share of organisation and caller, see OrderInput. */
-    double victimShare = 0;
-    double claimantShare = 0;
+    bool sameOrganisation = false;
+    /** What organisation and caller hold now relative to their fair parts; 1 is fair. */
+    double victimOrganisationShare = 0;
+    double claimantOrganisationShare = 0;
+    double victimCallerShare = 0;
+    double claimantCallerShare = 0;
     Duration victimRan{};
     Duration claimantWaited{};
 };
--- a/lib/Decision/FairShare.cpp
+++ b/lib/Decision/FairShare.cpp
@@ -70,6 +70,37 @@
     return entry->second;
 }
 
+void ShareTable::present(const Job &job, std::int64_t sign)
+{
+    OrganisationShare &organisation = m_organisations[job.organisation];
+    CallerShare &caller = m_callers[job.caller];
+    const std::int64_t weight = std::max<std::int64_t>(organisation.policy.weight, 1);
+    const auto becomes = [sign](std::int64_t &jobs) {
+        const bool before = jobs > 0;
+        jobs += sign;
+        return static_cast<std::int64_t>(jobs > 0) - static_cast<std::int64_t>(before);
+    };
+    organisation.activeCallers += becomes(caller.jobs);
+    m_activeWeight += weight * becomes(organisation.jobs);
+}
+
+double ShareTable::heldByOrganisation(OrganisationIndex organisation) const
+{
+    const OrganisationShare &share = m_organisations[organisation];
+    const auto weight = static_cast<double>(std::max<std::int64_t>(share.policy.weight, 1));
+    return share.meter.held() * static_cast<double>(std::max<std::int64_t>(m_activeWeight, 1)) / weight;
+}
+
+double ShareTable::heldByCaller(std::uint32_t caller) const
+{
+    const CallerShare &share = m_callers[caller];
+    const OrganisationShare &organisation = m_organisations[share.organisation];
+    const auto weight = static_cast<double>(std::max<std::int64_t>(organisation.policy.weight, 1));
+    const double due = weight / static_cast<double>(std::max<std::int64_t>(m_activeWeight, 1));
+    const double whole = std::max(organisation.meter.held(), due);
+    return share.meter.held() * static_cast<double>(std::max<std::int64_t>(organisation.activeCallers, 1)) / whole;
+}
+
 void ShareTable::setPolicies(const std::vector<OrganisationPolicy> &policies)
 {
     for (OrganisationShare &share : m_organisations) {
@@ -79,6 +110,10 @@
     for (const OrganisationPolicy &policy : policies) {
         m_organisations[organisation(policy.id)].policy = policy;
     }
+    m_activeWeight = 0;
+    for (const OrganisationShare &share : m_organisations) {
+        m_activeWeight += share.jobs > 0 ? std::max<std::int64_t>(share.policy.weight, 1) : 0;
+    }
 }
 
 void ShareTable::charge(const Job &job, const Resources &fleet, std::int64_t sign, MonotonicTime now)
--- a/lib/Decision/JobEvents.cpp
+++ b/lib/Decision/JobEvents.cpp
@@ -45,6 +45,7 @@
     job.caller = m_shares.caller(job.organisation, request.caller);
     job.queuedAt = m_now;
     m_jobs[request.id] = std::move(owned);
+    m_shares.present(job, 1);
     return job;
 }
 
@@ -447,6 +448,7 @@
     if (m_fresh == &job) {
         m_fresh = nullptr;
     }
+    m_shares.present(job, -1);
     const JobId id = job.request.id;
     m_jobs.erase(id);
 }
--- a/lib/Decision/Policies.cpp
+++ b/lib/Decision/Policies.cpp
@@ -119,15 +119,18 @@
         return NotAVictim;
     }
     const bool moreUrgent = claimant < victim;
-    const bool underServed
-        = input.claimantShare < 1.0 && input.victimShare > 1.0 && input.victimShare > ShareGap * input.claimantShare;
+    const bool callerAbove = input.victimCallerShare > 1.0;
+    const bool organisationAbove = input.victimOrganisationShare > 1.0;
+    const bool underServed = input.sameOrganisation
+        ? callerAbove && input.victimCallerShare > ShareGap * input.claimantCallerShare
+        : organisationAbove && callerAbove && input.claimantOrganisationShare < 1.0;
     const bool starving = input.claimantWaited > std::max(LeastStarvation, StarvationFactor * input.claimantRun)
-        && input.victimShare > 1.0;
+        && (input.sameOrganisation ? callerAbove : organisationAbove);
     if (input.lost > Duration::zero() && !underServed && !starving) {
         return NotAVictim;
     }
     const bool muchShorter = seconds(input.claimantRun) * ShorterFactor < seconds(input.victimLeft)
-        && input.claimantShare < ShareGap * input.victimShare;
+        && (input.sameOrganisation || input.claimantOrganisationShare < 1.0 || organisationAbove);
     return moreUrgent || underServed || starving || muchShorter ? cost : NotAVictim;
 }
 
--- a/lib/Decision/SchedulerImplementation.h
+++ b/lib/Decision/SchedulerImplementation.h
@@ -108,6 +108,8 @@
     double victimCost(const Job &victim, const Job &claimant, bool claim) const;
     bool mayBorrow(const Job &job) const;
     bool claimable(const Job &job) const;
+    /** Whether the job's organisation and caller hold less than their fair parts now. */
+    bool belowShare(const Job &job) const;
     /** Whether the job would take the room kept for callers below their fair share. */
     bool takesHeadroom(const Job &job) const;
     ///@}
@@ -129,7 +131,6 @@
     Duration remainingRun(const Job &job) const;
     MonotonicTime expectedEnd(const Job &job) const;
     double orderOf(const Job &job) const;
-    double shareOf(const Job &job) const;
     ///@}
 
     Policy m_policy;
--- a/lib/Decision/SchedulingPass.cpp
+++ b/lib/Decision/SchedulingPass.cpp
@@ -50,7 +50,7 @@
     startAssigned();
     if (!m_capacityFreed) {
         const bool alone = m_policy.blocking == Blocking::Nobody || m_queue.size() == 1;
-        if (m_fresh != nullptr && shareOf(*m_fresh) < 1.0) {
+        if (m_fresh != nullptr && belowShare(*m_fresh)) {
             m_underServedAt = m_now;
         }
         if (m_fresh != nullptr && !alone) {
@@ -195,14 +195,22 @@
     return m_policy.mayBorrow(input);
 }
 
+bool Scheduler::Implementation::belowShare(const Job &job) const
+{
+    const double organisation = m_shares.heldByOrganisation(job.organisation);
+    const double caller = m_shares.heldByCaller(job.caller);
+    // Inside an organisation that holds more than its part only its smaller callers are below their shares.
+    constexpr double SmallCaller = 0.5;
+    return organisation < 1.0 ? caller <= 1.0 || organisation < SmallCaller : caller < SmallCaller;
+}
+
 bool Scheduler::Implementation::takesHeadroom(const Job &job) const
 {
     // Half an hour without work of others shows that nobody needs the room.
     constexpr Duration HeadroomMemory = std::chrono::minutes(30);
-    constexpr double AboveFairShare = 1.5;
     const std::int64_t accelerators = gangAccelerators(job);
     if (m_policy.headroom <= 0 || accelerators == 0 || job.moved || job.request.jobClass == JobClass::Urgent
-        || !m_underServedAt || m_now - *m_underServedAt > HeadroomMemory || shareOf(job) < AboveFairShare) {
+        || !m_underServedAt || m_now - *m_underServedAt > HeadroomMemory || belowShare(job)) {
         return false;
     }
     std::int64_t free = 0;
@@ -357,8 +365,11 @@
     input.lost = keeps || victim.state != JobState::Running ? Duration::zero() : sinceCheckpoint;
     input.victimLeft = remainingRun(victim);
     input.claimantRun = remainingRun(claimant);
-    input.victimShare = shareOf(victim);
-    input.claimantShare = shareOf(claimant);
+    input.sameOrganisation = victim.organisation == claimant.organisation;
+    input.victimOrganisationShare = m_shares.heldByOrganisation(victim.organisation);
+    input.claimantOrganisationShare = m_shares.heldByOrganisation(claimant.organisation);
+    input.victimCallerShare = m_shares.heldByCaller(victim.caller);
+    input.claimantCallerShare = m_shares.heldByCaller(claimant.caller);
     input.claimantWaited = m_now - claimant.queuedAt;
     return m_policy.victimCost(input);
 }
@@ -374,7 +385,7 @@
         = chooseVictims(m_fleet, request, [&](const Job &victim) { return victimCost(victim, job, false); });
     const bool urgent = job.request.jobClass == JobClass::Urgent;
     // Half of the budget is kept for callers below their fair share.
-    const double kept = shareOf(job) < 1.0 ? 0.0 : m_largestMoveBudget / 2;
+    const double kept = belowShare(job) ? 0.0 : m_largestMoveBudget / 2;
     if (!choice || (!urgent && choice->cost > m_moveBudget - kept)) {
         return false;
     }
--- a/lib/Decision/Upkeep.cpp
+++ b/lib/Decision/Upkeep.cpp
@@ -53,17 +53,6 @@
     return m_now + remainingRun(job);
 }
 
-double Scheduler::Implementation::shareOf(const Job &job) const
-{
-    const double floor = 1e-9;
-    const OrganisationShare &organisation = m_shares.at(job.organisation);
-    const double own = organisation.meter.service(m_now);
-    const double caller = m_shares.callerAt(job.caller).meter.service(m_now);
-    const double ofOrganisation = m_shares.weighted(job.organisation, m_now) / std::max(m_meanShare, floor);
-    const double meanCaller = own / std::max<double>(1.0, static_cast<double>(organisation.callers));
-    return ofOrganisation * caller / std::max(meanCaller, floor);
-}
-
 double Scheduler::Implementation::orderOf(const Job &job) const
 {
     const double floor = 1e-9;
--- a/lib/PolicyBench/Scenario.cpp
+++ b/lib/PolicyBench/Scenario.cpp
@@ -113,6 +113,8 @@
         small.prefix = "small";
         small.organisations = 2;
         small.callersEach = 5;
+        // Jobs of a caller that asks for 3% of the fleet are no larger than one worker.
+        small.largestGang = 8;
         small.urgentShare = 0;
         small.backgroundShare = 0;
         addWorkload(stream, site, small, random);
