--- a/lib/Decision/Policies.cpp
+++ b/lib/Decision/Policies.cpp
@@ -92,6 +92,8 @@
 
 /** Run time before a job may be stopped for fairness, and run time it must have left. */
 constexpr Duration LeastRun = std::chrono::minutes(2);
+/** A caller below this part of its organisation's share is not made to pay for the organisation. */
+constexpr double SmallCaller = 0.5;
 /** How far the share of a victim must exceed that of the claimant. */
 constexpr double ShareGap = 2.0;
 /** A job that waits this many times its run time, and at least this long, may stop jobs of over-served callers. */
@@ -123,7 +125,7 @@
     const bool organisationAbove = input.victimOrganisationShare > 1.0;
     const bool underServed = input.sameOrganisation
         ? callerAbove && input.victimCallerShare > ShareGap * input.claimantCallerShare
-        : organisationAbove && callerAbove && input.claimantOrganisationShare < 1.0;
+        : organisationAbove && input.victimCallerShare > SmallCaller && input.claimantOrganisationShare < 1.0;
     const bool starving = input.claimantWaited > std::max(LeastStarvation, StarvationFactor * input.claimantRun)
         && (input.sameOrganisation ? callerAbove : organisationAbove);
     if (input.lost > Duration::zero() && !underServed && !starving) {
