decision: lend work that cannot be checkpointed only inside the fair part

Cause: half of a flood could not be taken back without losing its work, so the budget of moves ran out. Change: while callers below their share submit work, work without checkpoints starts only inside its organisation's fair part, and 10% instead of 6% of the fleet is left free by callers above their share.

--- a/lib/Decision/Policies.cpp
+++ b/lib/Decision/Policies.cpp
@@ -154,7 +154,7 @@
     policy.quarantines = true;
     policy.checkpoints = true;
     policy.compacts = true;
-    policy.headroom = 0.06;
+    policy.headroom = 0.1;
     return policy;
 }
 
--- a/lib/Decision/SchedulingPass.cpp
+++ b/lib/Decision/SchedulingPass.cpp
@@ -213,6 +213,10 @@
         || !m_underServedAt || m_now - *m_underServedAt > HeadroomMemory || belowShare(job)) {
         return false;
     }
+    // Work that cannot be taken back without loss is lent only inside the organisation's fair part.
+    if (!job.request.canCheckpoint && m_shares.heldByOrganisation(job.organisation) >= 1.0) {
+        return true;
+    }
     std::int64_t free = 0;
     for (const FleetRack &rack : m_fleet.racks()) {
         free += rack.freeAccelerators;
