--- a/include/corianderscale/Decision/Policy.h
+++ b/include/corianderscale/Decision/Policy.h
@@ -27,6 +27,8 @@
     std::int64_t tasks = 1;
     Resources size;
     Closeness closeness = Closeness::None;
+    /** Whether the gang loses its work when it is stopped. */
+    bool losesWork = false;
     /** Workers the gang must not use; sorted. */
     std::vector<WorkerIndex> avoid;
     /** When set, a worker with a non-zero entry is kept for another job. */
@@ -46,10 +48,14 @@
     Duration lost{};
     Duration victimLeft{};
     Duration claimantRun{};
-    /** Share of organisation and caller, see OrderInput. */
-    double victimShare = 0;
-    double claimantShare = 0;
+    bool sameOrganisation = false;
+    /** What organisation and caller hold now relative to their fair parts; 1 is fair. */
+    double victimOrganisationShare = 0;
+    double claimantOrganisationShare = 0;
+    double victimCallerShare = 0;
+    double claimantCallerShare = 0;
     Duration victimRan{};
+    Duration claimantWaited{};
 };
 
 struct LendingInput {
@@ -64,6 +70,15 @@
     std::int64_t heldByOthers = 0;
 };
 
+/** Which jobs wait behind one that cannot start. */
+enum class Blocking {
+    /** None; later jobs are passed forward. */
+    Nobody,
+    /** The jobs of the same organisation. */
+    Organisation,
+    Everybody,
+};
+
 /** Cost of a victim that must not be stopped. */
 inline constexpr double NotAVictim = std::numeric_limits<double>::infinity();
 
@@ -81,6 +96,7 @@
     std::function<double(const VictimInput &)> victimCost;
     /** Whether the job may start beyond its organisation's guarantee. */
     std::function<bool(const LendingInput &)> mayBorrow;
+    Blocking blocking = Blocking::Nobody;
     /** Whether guarantees are pinned, claimed and reported. */
     bool honoursGuarantees = false;
     /** Whether urgent or under-served work may stop lent work. */
@@ -91,6 +107,10 @@
     bool learns = false;
     /** Whether workers are compared, quarantined and probed. */
     bool quarantines = false;
+    /** Share of the fleet that callers above their fair share leave free while others submit work. */
+    double headroom = 0;
+    /** Whether small jobs are moved to free whole workers. */
+    bool compacts = false;
     /** Whether running gangs store periodic checkpoints. */
     bool checkpoints = false;
 };
--- a/lib/Decision/SchedulerImplementation.h
+++ b/lib/Decision/SchedulerImplementation.h
@@ -91,6 +91,8 @@
     void passClaims();
     bool tryClaim(Job &job);
     std::optional<VictimChoice> cheapestClaim(const Job &job, const Resources &size);
+    /** Moves a pin to a worker where the claim costs less than @p presentCost. */
+    bool moveClaim(const Job &job, const Resources &size, double presentCost);
     bool passQueue();
     bool tryPlace(Job &job);
     bool tryProbe(Job &job);
@@ -106,6 +108,10 @@
     double victimCost(const Job &victim, const Job &claimant, bool claim) const;
     bool mayBorrow(const Job &job) const;
     bool claimable(const Job &job) const;
+    /** Whether the job's organisation and caller hold less than their fair parts now. */
+    bool belowShare(const Job &job) const;
+    /** Whether the job would take the room kept for callers below their fair share. */
+    bool takesHeadroom(const Job &job) const;
     ///@}
 
     /** @name Work that needs no event (Upkeep.cpp) */
@@ -114,6 +120,9 @@
     void watchDeadlines();
     void requestCheckpoints();
     void giveUpAssigned();
+    /** Compaction.cpp */
+    void compact();
+    bool moveAway(WorkerIndex from);
     ///@}
 
     /** @name Estimates (Upkeep.cpp) */
@@ -122,7 +131,6 @@
     Duration remainingRun(const Job &job) const;
     MonotonicTime expectedEnd(const Job &job) const;
     double orderOf(const Job &job) const;
-    double shareOf(const Job &job) const;
     ///@}
 
     Policy m_policy;
@@ -157,6 +165,13 @@
     /** The job submitted or requeued by this event; tried even when nothing was freed. */
     Job *m_fresh = nullptr;
     MonotonicTime m_nextUpkeep{};
+    MonotonicTime m_nextCompaction{};
+    /** Accelerator-seconds that preemption for fairness and compaction may cost now. */
+    double m_moveBudget = 0;
+    double m_largestMoveBudget = 0;
+    /** When a caller below its fair share last submitted a job. */
+    std::optional<MonotonicTime> m_underServedAt;
+    MonotonicTime m_budgetAt{};
     MonotonicTime m_nextRetry = NeverDue;
 };
 
