--- /dev/null
+++ b/lib/Ctl/Commands.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "corianderscale/Ctl/GatewayClient.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/** One call of a command with its checked arguments. */
+struct CtlCall {
+    const CtlHooks &hooks;
+    GatewayClient client;
+    /** Values of the options that were given. */
+    std::map<std::string, std::string> options;
+    std::vector<std::string> positional;
+
+    /** The value of an option, or empty text. */
+    std::string option(const std::string &name) const;
+    bool asJson() const;
+    /** Prints an answer as JSON, or its error. Returns the exit code. */
+    int printJson(const std::optional<HttpResponse> &response) const;
+    /** The JSON of a successful answer; otherwise prints the error and sets @p exitCode. */
+    std::optional<Json> take(const std::optional<HttpResponse> &response, int &exitCode) const;
+};
+
+/** An option with its value's name and help. */
+struct CtlOption {
+    std::string name;
+    std::string valueName;
+    std::string help;
+};
+
+struct CtlCommand {
+    /** One or two words. */
+    std::string name;
+    /** Names of the positional arguments. */
+    std::vector<std::string> arguments;
+    std::string help;
+    std::vector<CtlOption> options;
+    int (*run)(CtlCall &call);
+};
+
+/** @name Commands on documents */
+///@{
+int runCheck(CtlCall &call);
+int runDiff(CtlCall &call);
+int runApply(CtlCall &call);
+int runPromote(CtlCall &call);
+int runStatus(CtlCall &call);
+int runHistory(CtlCall &call);
+int runOrganisations(CtlCall &call);
+int runGuarantees(CtlCall &call);
+///@}
+
+/** @name Commands on work and machines */
+///@{
+int runTotals(CtlCall &call);
+int runJobsList(CtlCall &call);
+int runJobsShow(CtlCall &call);
+int runJobsCancel(CtlCall &call);
+int runJobsWait(CtlCall &call);
+int runWorkers(CtlCall &call);
+int runEndpoints(CtlCall &call);
+int runExplain(CtlCall &call);
+int runTimeline(CtlCall &call);
+///@}
+
+/** Text of a JSON value for a table; empty for a missing one. */
+std::string cell(const Json &object, const std::string &key);
+/** Number of a JSON value; 0 for a missing one. */
+std::int64_t number(const Json &object, const std::string &key);
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Ctl/DocumentCommands.cpp
@@ -0,0 +1,295 @@
+#include "corianderscale/Ctl/TextTable.h"
+#include "corianderscale/Daemon/CommandLine.h"
+#include "corianderscale/Protocol/CallerMessages.h"
+#include "corianderscale/State/Document.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+#include "Commands.h"
+
+namespace coriander {
+
+namespace {
+
+constexpr std::int64_t DefaultPromoteWaitMs = 15000;
+
+std::optional<std::string> readDocument(CtlCall &call)
+{
+    std::vector<YamlFault> faults;
+    auto text = readTextFile(call.positional.front(), MaximumDocumentBytes, faults);
+    for (const YamlFault &fault : faults) {
+        *call.hooks.err << fault.toString() << '\n';
+    }
+    return text;
+}
+
+std::optional<std::int64_t> readNumber(CtlCall &call, const std::string &name, std::int64_t fallback)
+{
+    const std::string text = call.option(name);
+    std::int64_t value = fallback;
+    if (!text.empty()) {
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size() || value < 0) {
+            *call.hooks.err << "corianderctl: --" << name << " takes a whole number; see --help\n";
+            return std::nullopt;
+        }
+    }
+    return value;
+}
+
+std::string bodyOf(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+int printAccepted(CtlCall &call, const std::optional<HttpResponse> &response)
+{
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    if (const auto json = call.take(response, exitCode)) {
+        *call.hooks.out << fmt::format("{}: version {} is accepted, digest {}\n",
+                                       cell(*json, "environment"),
+                                       number(*json, "version"),
+                                       cell(*json, "digest"));
+    }
+    return exitCode;
+}
+
+/** When to ask again, if trial may not have the document everywhere yet. */
+std::int64_t notInForceYetMs(const std::optional<HttpResponse> &response)
+{
+    ProtocolError error;
+    const auto body
+        = response && response->status == 409 ? decodeMessage<ErrorBody>(response->body, error) : std::nullopt;
+    return body && body->code == "not-in-force" ? std::max<std::int64_t>(body->retryAfterMs, 1) : 0;
+}
+
+} // namespace
+
+int runCheck(CtlCall &call)
+{
+    const std::optional<std::string> text = readDocument(call);
+    if (!text) {
+        return ExitInvalid;
+    }
+    const auto response = call.client.call("POST", "/v1/operator/check", {}, bodyOf({{"document", *text}}));
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    if (call.asJson()) {
+        call.printJson(response);
+    } else if (json->value("valid", false)) {
+        *call.hooks.out << call.positional.front() << ": ok, digest " << cell(*json, "digest") << '\n';
+    } else {
+        for (const Json &fault : json->at("faults")) {
+            const YamlFault shown{call.positional.front(),
+                                  static_cast<int>(number(fault, "line")),
+                                  static_cast<int>(number(fault, "column")),
+                                  cell(fault, "key"),
+                                  cell(fault, "expected")};
+            *call.hooks.err << shown.toString() << '\n';
+        }
+    }
+    return json->value("valid", false) ? ExitSuccess : ExitInvalid;
+}
+
+int runDiff(CtlCall &call)
+{
+    const std::optional<std::string> text = readDocument(call);
+    if (!text) {
+        return ExitInvalid;
+    }
+    Json body = {{"document", *text}};
+    if (!call.option("environment").empty()) {
+        body["environment"] = call.option("environment");
+    }
+    const auto response = call.client.call("POST", "/v1/operator/diff", {}, bodyOf(body));
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    *call.hooks.out << fmt::format("compared with {} version {}, digest {}\n",
+                                   cell(*json, "environment"),
+                                   number(*json, "version"),
+                                   cell(*json, "digest"));
+    for (const Json &line : json->at("lines")) {
+        *call.hooks.out << fmt::format("{} {:>4} {}\n", cell(line, "mark"), number(line, "line"), cell(line, "text"));
+    }
+    return ExitSuccess;
+}
+
+int runApply(CtlCall &call)
+{
+    if (call.option("environment") != "trial") {
+        *call.hooks.err << "corianderctl: give --environment trial; production gets its documents by promote\n";
+        return ExitUsage;
+    }
+    const std::optional<std::string> text = readDocument(call);
+    if (!text) {
+        return ExitInvalid;
+    }
+    Json body = {{"document", *text}, {"environment", "trial"}};
+    if (!call.option("base-version").empty()) {
+        const auto base = readNumber(call, "base-version", 0);
+        if (!base) {
+            return ExitUsage;
+        }
+        body["baseVersion"] = *base;
+    }
+    return printAccepted(call, call.client.call("POST", "/v1/operator/apply", {}, bodyOf(body)));
+}
+
+int runPromote(CtlCall &call)
+{
+    const auto wait = readNumber(call, "wait-ms", DefaultPromoteWaitMs);
+    if (!wait) {
+        return ExitUsage;
+    }
+    const std::string body = bodyOf({{"digest", call.positional.front()}});
+    const MonotonicTime limit = call.hooks.clock.now() + std::chrono::milliseconds(*wait);
+    for (;;) {
+        const auto response = call.client.call("POST", "/v1/operator/promote", {}, body);
+        const auto retry = std::chrono::milliseconds(notInForceYetMs(response));
+        if (retry.count() == 0 || call.hooks.clock.now() + retry > limit) {
+            return printAccepted(call, response);
+        }
+        call.hooks.sleep(retry);
+    }
+}
+
+int runStatus(CtlCall &call)
+{
+    const auto response = call.client.call("GET", "/v1/operator/status");
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    *call.hooks.out << fmt::format("answered by {}, environment {}, version in force here {}, table {}\n\n",
+                                   cell(*json, "answeredBy"),
+                                   cell(*json, "environment"),
+                                   number(json->at("inForce"), "version"),
+                                   cell(*json, "table"));
+    TextTable accepted({"ENVIRONMENT", "ACCEPTED", "DIGEST", "OPERATOR", "SINCE"});
+    for (const Json &item : json->at("accepted")) {
+        accepted.add({cell(item, "environment"),
+                      item.value("known", false) ? cell(item, "version") : "not known",
+                      cell(item, "digest"),
+                      cell(item, "operator"),
+                      timeText(number(item, "acceptedUnixMs"))});
+    }
+    TextTable instances({"INSTANCE", "ROLE", "DATA CENTRE", "ADDRESS", "VERSION", "CUT OFF SINCE"});
+    for (const Json &item : json->at("instances")) {
+        instances.add({cell(item, "instance"),
+                       cell(item, "role"),
+                       cell(item, "dataCentre"),
+                       cell(item, "address"),
+                       cell(item, "version"),
+                       item.value("cutOff", false) ? timeText(number(item, "cutOffSinceUnixMs")) : "no"});
+    }
+    *call.hooks.out << accepted.toString() << '\n' << instances.toString();
+    return ExitSuccess;
+}
+
+int runHistory(CtlCall &call)
+{
+    std::map<std::string, std::string> query;
+    if (!call.option("environment").empty()) {
+        query["environment"] = call.option("environment");
+    }
+    const auto response = call.client.call("GET", "/v1/operator/history", query);
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    TextTable table({"VERSION", "ACCEPTED", "OPERATOR", "DIGEST"});
+    for (const Json &item : json->at("versions")) {
+        table.add({cell(item, "version"),
+                   timeText(number(item, "acceptedUnixMs")),
+                   cell(item, "operator"),
+                   cell(item, "digest")});
+    }
+    *call.hooks.out << table.toString();
+    return ExitSuccess;
+}
+
+int runOrganisations(CtlCall &call)
+{
+    const auto response = call.client.call("GET", "/v1/operator/document");
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    std::vector<YamlFault> faults;
+    const auto document = parseDocument(cell(*json, "document"), "document", faults);
+    if (!document) {
+        *call.hooks.err << "corianderctl: no document is accepted there, or one of another version\n";
+        return ExitFailed;
+    }
+    TextTable table({"ORGANISATION", "WEIGHT", "QUOTA", "REQUESTS/S", "GUARANTEED", "CALLERS"});
+    Json list = Json::array();
+    for (const OrganisationSpec &organisation : document->organisations) {
+        std::int64_t guaranteed = 0;
+        for (const decision::Guarantee &guarantee : organisation.guarantees) {
+            guaranteed += guarantee.accelerators.count() * guarantee.count;
+        }
+        table.add({organisation.id.value(),
+                   std::to_string(organisation.weight),
+                   organisation.quota.count() == 0 ? "none" : std::to_string(organisation.quota.count()),
+                   std::to_string(organisation.requestsPerSecond),
+                   std::to_string(guaranteed),
+                   std::to_string(organisation.callers.size())});
+        list.push_back({{"organisation", organisation.id.value()},
+                        {"weight", organisation.weight},
+                        {"acceleratorQuota", organisation.quota.count()},
+                        {"requestsPerSecond", organisation.requestsPerSecond},
+                        {"guaranteedAccelerators", guaranteed},
+                        {"callers", organisation.callers.size()}});
+    }
+    *call.hooks.out << (call.asJson() ? list.dump(2) + "\n" : table.toString());
+    return ExitSuccess;
+}
+
+int runGuarantees(CtlCall &call)
+{
+    const auto response = call.client.call("GET", "/v1/operator/guarantees");
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    TextTable table({"ORGANISATION", "DATA CENTRE", "ACCELERATORS", "ADJACENCY", "COUNT", "CLAIMED THERE"});
+    for (const Json &item : json->at("guarantees")) {
+        table.add({cell(item, "organisation"),
+                   cell(item, "dataCentre"),
+                   cell(item, "accelerators"),
+                   cell(item, "adjacency"),
+                   cell(item, "count"),
+                   cell(item, "acceleratorsClaimedThere")});
+    }
+    *call.hooks.out << table.toString();
+    return ExitSuccess;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Ctl/WorkCommands.cpp
@@ -0,0 +1,304 @@
+#include "corianderscale/Ctl/TextTable.h"
+#include "corianderscale/Daemon/CommandLine.h"
+#include "corianderscale/Protocol/CallerMessages.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+#include "Commands.h"
+
+namespace coriander {
+
+namespace {
+
+constexpr std::int64_t DefaultWaitMs = 600000;
+constexpr Duration WaitInterval = std::chrono::milliseconds(500);
+constexpr double MillisecondsOfHour = 3600.0 * 1000.0;
+constexpr double MibOfGib = 1024.0;
+
+std::string hours(const Json &usage, const std::string &key, double divisor = MillisecondsOfHour)
+{
+    return fmt::format("{:.3f}", static_cast<double>(number(usage, key)) / divisor);
+}
+
+std::map<std::string, std::string> queryOf(const CtlCall &call, const std::map<std::string, std::string> &names)
+{
+    std::map<std::string, std::string> query;
+    for (const auto &[option, parameter] : names) {
+        if (!call.option(option).empty()) {
+            query[parameter] = call.option(option);
+        }
+    }
+    return query;
+}
+
+std::vector<std::string> totalsRow(const std::string &kind, const Json &item)
+{
+    const Json &guaranteed = item.at("guaranteed");
+    const Json &borrowed = item.at("borrowed");
+    return {kind,
+            cell(item, "organisation"),
+            cell(item, "caller"),
+            cell(item, "accepted"),
+            cell(item, "finished"),
+            cell(item, "failed"),
+            cell(item, "refusedNotRun"),
+            cell(item, "cancelled"),
+            cell(item, "unknown"),
+            hours(guaranteed, "acceleratorMs"),
+            hours(borrowed, "acceleratorMs"),
+            hours(guaranteed, "coreMs"),
+            hours(borrowed, "coreMs"),
+            hours(guaranteed, "memoryMibMs", MillisecondsOfHour * MibOfGib),
+            hours(borrowed, "memoryMibMs", MillisecondsOfHour * MibOfGib)};
+}
+
+void printTotals(const Json &json, std::ostream &out)
+{
+    out << fmt::format("{} ({}): {}\n",
+                       cell(json, "day"),
+                       cell(json, "timeZone"),
+                       json.value("complete", false) ? "complete" : "incomplete");
+    for (const Json &thing : json.at("missing")) {
+        const std::int64_t expected = number(thing, "expectedUnixMs");
+        out << "missing: " << cell(thing, "what") << "; expected "
+            << (expected == 0 ? "after a repair" : "at " + timeText(expected)) << '\n';
+    }
+    TextTable table({"ROW",
+                     "ORGANISATION",
+                     "CALLER",
+                     "ACCEPTED",
+                     "FINISHED",
+                     "FAILED",
+                     "NOT RUN",
+                     "CANCELLED",
+                     "UNKNOWN",
+                     "ACC-H GUAR.",
+                     "ACC-H BORR.",
+                     "CORE-H GUAR.",
+                     "CORE-H BORR.",
+                     "GIB-H GUAR.",
+                     "GIB-H BORR."});
+    for (const Json &item : json.at("callers")) {
+        table.add(totalsRow("caller", item));
+    }
+    for (const Json &correction : json.at("corrections")) {
+        for (const Json &item : correction.at("callers")) {
+            table.add(totalsRow("correction-" + cell(correction, "number"), item));
+        }
+    }
+    out << table.toString();
+}
+
+void printJob(const Json &job, std::ostream &out)
+{
+    for (const char *key : {"id", "organisation", "caller", "state", "code", "reason", "attempt", "cancelRequested"}) {
+        out << fmt::format("{:<16}{}\n", key, cell(job, key));
+    }
+    for (const char *key : {"submittedUnixMs", "startedUnixMs", "endedUnixMs"}) {
+        out << fmt::format(
+            "{:<16}{}\n", std::string(key).substr(0, std::string(key).find("Unix")), timeText(number(job, key)));
+    }
+    for (const Json &placement : job.value("placements", Json::array())) {
+        out << fmt::format("{:<16}{} on {}\n", "task", cell(placement, "task"), cell(placement, "worker"));
+    }
+}
+
+int printRows(CtlCall &call, const std::string &path, const std::string &list, const std::vector<std::string> &keys)
+{
+    const auto response = call.client.call("GET", path);
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    TextTable table(keys);
+    for (const Json &item : json->at(list)) {
+        std::vector<std::string> row;
+        for (const std::string &key : keys) {
+            row.push_back(cell(item, key));
+        }
+        table.add(std::move(row));
+    }
+    *call.hooks.out << table.toString();
+    return ExitSuccess;
+}
+
+} // namespace
+
+int runTotals(CtlCall &call)
+{
+    const std::string format = call.option("format").empty() ? call.option("output") : call.option("format");
+    if (call.option("day").empty() || (format != "csv" && format != "table" && format != "json")) {
+        *call.hooks.err << "corianderctl: give --day YYYY-MM-DD, and --format csv, table or json; see --help\n";
+        return ExitUsage;
+    }
+    const auto response = call.client.call(
+        "GET", "/v1/operator/totals", {{"day", call.option("day")}, {"format", format == "csv" ? "csv" : "json"}});
+    if (format == "json") {
+        return call.printJson(response);
+    }
+    if (format == "csv" && response && response->status < 300) {
+        *call.hooks.out << response->body;
+        return ExitSuccess;
+    }
+    int exitCode = ExitSuccess;
+    if (const auto json = call.take(response, exitCode)) {
+        printTotals(*json, *call.hooks.out);
+    }
+    return exitCode;
+}
+
+int runJobsList(CtlCall &call)
+{
+    const auto query = queryOf(call, {{"state", "state"}, {"organisation", "organisation"}, {"limit", "limit"}});
+    const auto response = call.client.call("GET", "/v1/operator/jobs", query);
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    TextTable table({"JOB", "ORGANISATION", "CALLER", "STATE", "TASKS", "SUBMITTED", "REASON"});
+    for (const Json &job : json->at("jobs")) {
+        table.add({cell(job, "id"),
+                   cell(job, "organisation"),
+                   cell(job, "caller"),
+                   cell(job, "state"),
+                   cell(job.at("spec"), "tasks"),
+                   timeText(number(job, "submittedUnixMs")),
+                   cell(job, "reason")});
+    }
+    *call.hooks.out << table.toString();
+    if (!cell(*json, "next").empty()) {
+        *call.hooks.err << "corianderctl: there are further jobs; narrow the list or raise --limit\n";
+    }
+    return ExitSuccess;
+}
+
+int runJobsShow(CtlCall &call)
+{
+    const auto response = call.client.call("GET", "/v1/operator/jobs/" + call.positional.front());
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    if (const auto json = call.take(response, exitCode)) {
+        printJob(*json, *call.hooks.out);
+    }
+    return exitCode;
+}
+
+int runJobsCancel(CtlCall &call)
+{
+    const auto response = call.client.call("DELETE", "/v1/operator/jobs/" + call.positional.front());
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    if (const auto json = call.take(response, exitCode)) {
+        *call.hooks.out << fmt::format("{}: {}\n",
+                                       cell(*json, "id"),
+                                       json->value("cancelRequested", false) ? "cancellation is requested"
+                                                                             : "has ended: " + cell(*json, "state"));
+    }
+    return exitCode;
+}
+
+int runJobsWait(CtlCall &call)
+{
+    std::int64_t wait = DefaultWaitMs;
+    const std::string text = call.option("wait-ms");
+    if (!text.empty() && std::from_chars(text.data(), text.data() + text.size(), wait).ec != std::errc()) {
+        *call.hooks.err << "corianderctl: --wait-ms takes a whole number; see --help\n";
+        return ExitUsage;
+    }
+    const MonotonicTime limit = call.hooks.clock.now() + std::chrono::milliseconds(wait);
+    for (;;) {
+        const auto response = call.client.call("GET", "/v1/operator/jobs/" + call.positional.front());
+        int exitCode = ExitSuccess;
+        const auto json = call.take(response, exitCode);
+        const bool later = exitCode == ExitUnreachable && call.hooks.clock.now() < limit;
+        if (!json && !later) {
+            return exitCode;
+        }
+        const auto state = json ? parseJobState(cell(*json, "state")) : std::nullopt;
+        if (state && isTerminal(*state)) {
+            if (call.asJson()) {
+                call.printJson(response);
+            } else {
+                *call.hooks.out << cell(*json, "id") << ": " << toText(*state) << '\n';
+            }
+            return *state == JobState::Finished ? ExitSuccess : ExitFailed;
+        }
+        if (call.hooks.clock.now() >= limit) {
+            *call.hooks.err << "corianderctl: the job has not ended; its state is " << cell(*json, "state") << '\n';
+            return ExitFailed;
+        }
+        call.hooks.sleep(WaitInterval);
+    }
+}
+
+int runWorkers(CtlCall &call)
+{
+    return printRows(
+        call, "/v1/operator/workers", "workers", {"id", "dataCentre", "address", "state", "tasks", "acceleratorsUsed"});
+}
+
+int runEndpoints(CtlCall &call)
+{
+    return printRows(call, "/v1/operator/endpoints", "endpoints", {"id", "dataCentre", "address", "state"});
+}
+
+int runExplain(CtlCall &call)
+{
+    const auto response = call.client.call("GET", "/v1/operator/explain/" + call.positional.front());
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    printJob(json->at("job"), *call.hooks.out);
+    const Json &owner = json->at("owner");
+    if (owner.is_object()) {
+        for (const char *key : {"state", "reason", "remedy"}) {
+            *call.hooks.out << fmt::format("{:<16}{}\n", "owner " + std::string(key), cell(owner, key));
+        }
+    }
+    return ExitSuccess;
+}
+
+int runTimeline(CtlCall &call)
+{
+    const auto query = queryOf(call, {{"id", "id"}, {"since", "sinceUnixMs"}, {"limit", "limit"}});
+    const auto response = call.client.call("GET", "/v1/operator/timeline", query);
+    if (call.asJson()) {
+        return call.printJson(response);
+    }
+    int exitCode = ExitSuccess;
+    const auto json = call.take(response, exitCode);
+    if (!json) {
+        return exitCode;
+    }
+    TextTable table({"TIME", "INSTANCE", "EVENT", "FIELDS"});
+    for (const Json &event : json->at("events")) {
+        std::string fields;
+        for (const Json &field : event.at("fields")) {
+            fields += (fields.empty() ? "" : " ") + cell(field, "key") + "=" + cell(field, "value");
+        }
+        table.add({timeText(number(event, "unixMs")), cell(event, "instance"), cell(event, "event"), fields});
+    }
+    *call.hooks.out << table.toString();
+    return ExitSuccess;
+}
+
+} // namespace coriander
