--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -5,6 +5,7 @@
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
+#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
@@ -60,6 +61,7 @@
     GatewayLoop m_loop;
     GatewayHooks m_hooks;
     PeerStreams m_peers;
+    RetryAllowance m_retries;
     GatewayCore m_core;
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
@@ -97,9 +99,9 @@
           [this](const auto &address, const auto &message, std::string body, MonotonicTime deadline, auto done) {
               sendPeer(address, message, std::move(body), deadline, std::move(done));
           },
-          RetryGate{[] {},
-                    [] {
-                        return true;
+          RetryGate{[this] { m_retries.noteSend(); },
+                    [this] {
+                        return m_retries.spend();
                     }},
           [](const CallerKey &) { return std::optional<ErrorBody>(); })
     , m_documents(m_hooks,
