--- a/include/corianderscale/Gateway/DocumentPoller.h
+++ b/include/corianderscale/Gateway/DocumentPoller.h
@@ -19,7 +19,7 @@
 class DocumentPoller
 {
 public:
-    using Found = std::function<void(DocumentVersion, std::shared_ptr<const Document>)>;
+    using Found = std::function<void(const DocumentHead &, std::shared_ptr<const Document>)>;
 
     DocumentPoller(GatewayHooks &hooks, Store &store, std::string environment, Found found);
 
--- a/include/corianderscale/Gateway/GatewayDaemon.h
+++ b/include/corianderscale/Gateway/GatewayDaemon.h
@@ -7,12 +7,14 @@
 
 /**
  * Reads the settings of the gateway: the common ones, `maximum_queued`, `maximum_queued_per_caller`,
- * `endpoint_poll_ms` and `announce`.
+ * `endpoint_poll_ms`, `announce` and `bootstrap_operator_digest`.
  */
 struct GatewayDaemonSettings {
     GatewaySettings gateway;
     /** Whether the gateway announces its VM to the platform; for stand-ins, which do not know their VMs. */
     bool announce = false;
+    /** SHA-256 of the token that may bring in the first document; empty for none. */
+    std::string bootstrapDigest;
 
     static GatewayDaemonSettings read(YamlMap &settings);
 };
--- /dev/null
+++ b/include/corianderscale/Gateway/OperatorView.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "corianderscale/Daemon/CommonSettings.h"
+#include "corianderscale/Gateway/OperatorRoutes.h"
+
+#include <mutex>
+
+namespace coriander {
+
+/**
+ * What the gateway's thread knows and the operators' threads show.
+ *
+ * Thread safety: all methods from any thread.
+ */
+class OperatorView
+{
+public:
+    /** @p store must outlive the view. */
+    OperatorView(CommonSettings common, std::string bootstrapDigest, Store &store, Clock clock);
+
+    /** Takes the document that is in force from now on. */
+    void setDocument(const DocumentHead &head, std::shared_ptr<const Document> document);
+    /** Takes the other live members of this environment. */
+    void setMembers(std::vector<Member> members);
+
+    /** Hooks for registerOperatorRoutes(); the view must outlive the server. */
+    OperatorHooks hooks();
+
+private:
+    std::vector<InstanceView> instances();
+
+    CommonSettings m_common;
+    std::string m_bootstrapDigest;
+    Store &m_store;
+    Clock m_clock;
+    std::mutex m_mutex;
+    std::optional<DocumentInForce> m_document;
+    std::vector<Member> m_members;
+    /** Since when the store has been seen away; 0 when it is not. */
+    std::int64_t m_awaySinceUnixMs = 0;
+};
+
+/** Reads `bootstrap_operator_digest`: the SHA-256 digest of the token for the first document; may be missing. */
+std::string readBootstrapDigest(YamlMap &settings);
+
+} // namespace coriander
--- a/lib/Gateway/DocumentPoller.cpp
+++ b/lib/Gateway/DocumentPoller.cpp
@@ -61,7 +61,7 @@
     }
     m_version = head.version;
     logEvent(LogLevel::Info, "document-in-force", {{"version", head.version}, {"digest", head.digest}});
-    m_found(head.version, std::make_shared<const Document>(std::move(*document)));
+    m_found(head, std::make_shared<const Document>(std::move(*document)));
 }
 
 } // namespace coriander
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -5,6 +5,7 @@
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
+#include "corianderscale/Gateway/OperatorView.h"
 #include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
@@ -66,6 +67,7 @@
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
     GatewayMetrics m_metrics;
+    OperatorView m_operators;
     HttpServer m_server;
 };
 
@@ -107,12 +109,14 @@
     , m_documents(m_hooks,
                   m_store,
                   m_common.environment,
-                  [this](DocumentVersion, const std::shared_ptr<const Document> &document) {
+                  [this](const DocumentHead &head, const std::shared_ptr<const Document> &document) {
+                      m_operators.setDocument(head, document);
                       m_core.setDocument(document);
                       m_status->ready = true;
                   })
     , m_status(std::make_shared<DaemonStatus>())
     , m_metrics(*m_status->metrics)
+    , m_operators(m_common, m_settings.bootstrapDigest, m_store, m_clock)
     , m_server(m_common.listen, HttpServerLimits())
 {
 }
@@ -210,6 +214,7 @@
     setLogProcess("coriander-gateway", m_common.instance.value());
     addStatusRoutes(m_server, m_status);
     addCallerRoutes(m_server, m_loop, m_core);
+    registerOperatorRoutes(m_server, m_operators.hooks());
     m_loop.start();
     TransportError error;
     if (!m_peers.start(error) || !m_server.start(error)) {
@@ -295,6 +300,7 @@
         = static_cast<std::size_t>(settings.integer("maximum_queued_per_caller", 500, 1, 100'000));
     result.gateway.pollInterval = std::chrono::milliseconds(settings.integer("endpoint_poll_ms", 2000, 100, 2500));
     result.announce = settings.boolean("announce", false);
+    result.bootstrapDigest = readBootstrapDigest(settings);
     return result;
 }
 
--- /dev/null
+++ b/lib/Gateway/OperatorView.cpp
@@ -0,0 +1,92 @@
+#include "corianderscale/Gateway/OperatorView.h"
+
+namespace coriander {
+
+namespace {
+
+constexpr std::size_t DigestDigits = 64;
+
+} // namespace
+
+OperatorView::OperatorView(CommonSettings common, std::string bootstrapDigest, Store &store, Clock clock)
+    : m_common(std::move(common))
+    , m_bootstrapDigest(std::move(bootstrapDigest))
+    , m_store(store)
+    , m_clock(std::move(clock))
+{
+}
+
+void OperatorView::setDocument(const DocumentHead &head, std::shared_ptr<const Document> document)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_document = DocumentInForce{head, std::move(document)};
+}
+
+void OperatorView::setMembers(std::vector<Member> members)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_members = std::move(members);
+}
+
+OperatorHooks OperatorView::hooks()
+{
+    OperatorHooks hooks;
+    hooks.clock = m_clock;
+    hooks.store = &m_store;
+    hooks.environment = m_common.environment;
+    hooks.instance = m_common.instance;
+    hooks.bootstrapDigest = m_bootstrapDigest;
+    hooks.document = [this] {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_document;
+    };
+    hooks.instances = [this] {
+        return instances();
+    };
+    return hooks;
+}
+
+std::vector<InstanceView> OperatorView::instances()
+{
+    const bool away = m_store.state() == StoreState::Away;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (!away) {
+        m_awaySinceUnixMs = 0;
+    } else if (m_awaySinceUnixMs == 0) {
+        m_awaySinceUnixMs = toUnixMs(m_clock.wallNow());
+    }
+    InstanceView self;
+    self.member.instance = m_common.instance;
+    self.member.role = MemberRole::Gateway;
+    self.member.dataCentre = m_common.dataCentre;
+    self.member.address = m_common.listen;
+    self.member.peerAddress = m_common.peerListen;
+    self.version = m_document ? m_document->head.version : DocumentVersion(0);
+    self.cutOff = away;
+    self.cutOffSinceUnixMs = m_awaySinceUnixMs;
+    std::vector<InstanceView> views = {self};
+    for (const Member &member : m_members) {
+        if (member.instance == m_common.instance || member.state == MemberState::Dead) {
+            continue;
+        }
+        InstanceView view;
+        view.member = member;
+        view.cutOff = member.state == MemberState::Suspect;
+        view.cutOffSinceUnixMs = view.cutOff ? toUnixMs(m_clock.wallNow()) : 0;
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+std::string readBootstrapDigest(YamlMap &settings)
+{
+    std::string digest = settings.text("bootstrap_operator_digest", {});
+    if (!digest.empty()
+        && (digest.size() != DigestDigits || digest.find_first_not_of("0123456789abcdef") != std::string::npos)) {
+        settings.fault("bootstrap_operator_digest",
+                       "expected the SHA-256 of the token as 64 lower-case hexadecimal digits");
+    }
+    return digest;
+}
+
+} // namespace coriander
