--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -119,7 +119,7 @@
 std::vector<WorkerRequest> SchedulerCore::takeRequests(Instant at)
 {
     std::vector<WorkerRequest> requests;
-    if (m_phase == Phase::Idle || m_termEnd <= at.now) {
+    if (m_phase == Phase::Idle) {
         return requests;
     }
     for (auto &[id, worker] : m_workers) {
