--- a/include/corianderscale/Gateway/OperatorRoutes.h
+++ b/include/corianderscale/Gateway/OperatorRoutes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "corianderscale/Coordination/Store.h"
-#include "corianderscale/Protocol/TimelineMessages.h"
+#include "corianderscale/Gateway/TimelineCollector.h"
 #include "corianderscale/State/Document.h"
 #include "corianderscale/State/DocumentLedger.h"
 #include "corianderscale/State/InstanceView.h"
@@ -51,7 +51,7 @@
      */
     std::function<std::optional<Json>(const DataCentreId &, const std::string &path)> askOwner;
     /** Optional: the events of all reachable processes; else those of this one. */
-    std::function<std::vector<ProcessTimeline>(const TimelineFilter &)> timelines;
+    std::function<CollectedTimelines(const TimelineFilter &)> timelines;
 };
 
 /**
--- a/lib/Ctl/Ctl.cpp
+++ b/lib/Ctl/Ctl.cpp
@@ -68,7 +68,8 @@
          "show events of all processes in order",
          {{"id", "ID", "only events that name this id"},
           {"since", "UNIX-MS", "only events after this time"},
-          {"limit", "N", "at most this many; default 1000"}},
+          {"limit", "N", "at most this many; default 1000"},
+          {"format", "FORMAT", "text, json or svg; default text"}},
          runTimeline},
     };
     return All;
--- a/lib/Ctl/WorkCommands.cpp
+++ b/lib/Ctl/WorkCommands.cpp
@@ -1,4 +1,5 @@
 #include "corianderscale/Ctl/TextTable.h"
+#include "corianderscale/Ctl/TimelineSvg.h"
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Protocol/CallerMessages.h"
 
@@ -277,11 +278,49 @@
     return ExitSuccess;
 }
 
+namespace {
+
+std::vector<MergedEvent> eventsOf(const Json &answer)
+{
+    std::vector<MergedEvent> events;
+    for (const Json &item : answer.at("events")) {
+        MergedEvent event;
+        event.instance = InstanceId(cell(item, "instance"));
+        event.event.time = parseHybridTime(cell(item, "time")).value_or(HybridTime());
+        event.event.event = cell(item, "event");
+        for (const Json &field : item.at("fields")) {
+            event.event.fields.emplace_back(cell(field, "key"), cell(field, "value"));
+        }
+        events.push_back(std::move(event));
+    }
+    return events;
+}
+
+std::string timelineTable(const std::vector<MergedEvent> &events)
+{
+    TextTable table({"TIME", "INSTANCE", "EVENT", "FIELDS"});
+    for (const MergedEvent &event : events) {
+        std::string fields;
+        for (const LogField &field : event.event.fields) {
+            fields += (fields.empty() ? "" : " ") + formatLogField(field);
+        }
+        table.add({timeText(event.event.time.wallUs / 1000), event.instance.value(), event.event.event, fields});
+    }
+    return table.toString();
+}
+
+} // namespace
+
 int runTimeline(CtlCall &call)
 {
+    const std::string format = call.option("format").empty() ? "text" : call.option("format");
+    if (format != "text" && format != "json" && format != "svg") {
+        *call.hooks.err << "corianderctl: give --format text, json or svg; see --help\n";
+        return ExitUsage;
+    }
     const auto query = queryOf(call, {{"id", "id"}, {"since", "sinceUnixMs"}, {"limit", "limit"}});
     const auto response = call.client.call("GET", "/v1/operator/timeline", query);
-    if (call.asJson()) {
+    if (call.asJson() || format == "json") {
         return call.printJson(response);
     }
     int exitCode = ExitSuccess;
@@ -289,15 +328,11 @@
     if (!json) {
         return exitCode;
     }
-    TextTable table({"TIME", "INSTANCE", "EVENT", "FIELDS"});
-    for (const Json &event : json->at("events")) {
-        std::string fields;
-        for (const Json &field : event.at("fields")) {
-            fields += (fields.empty() ? "" : " ") + cell(field, "key") + "=" + cell(field, "value");
-        }
-        table.add({timeText(number(event, "unixMs")), cell(event, "instance"), cell(event, "event"), fields});
+    for (const Json &instance : json->value("unreachable", Json::array())) {
+        *call.hooks.err << "not asked: " << instance.get<std::string>() << '\n';
     }
-    *call.hooks.out << table.toString();
+    const std::vector<MergedEvent> events = eventsOf(*json);
+    *call.hooks.out << (format == "svg" ? timelineSvg(events) : timelineTable(events));
     return ExitSuccess;
 }
 
--- a/lib/Gateway/OperatorWork.cpp
+++ b/lib/Gateway/OperatorWork.cpp
@@ -379,17 +379,23 @@
     filter.since.wallUs = *since * 1000;
     filter.id = request.parameter("id");
     filter.most = static_cast<std::size_t>(*limit);
-    const std::vector<ProcessTimeline> timelines = m_hooks.timelines
+    const CollectedTimelines collected = m_hooks.timelines
         ? m_hooks.timelines(filter)
-        : std::vector<ProcessTimeline>{localTimeline(m_hooks.instance, filter)};
+        : CollectedTimelines{{localTimeline(m_hooks.instance, filter)}, {}};
     std::int64_t dropped = 0;
     Json instances = Json::array();
-    for (const ProcessTimeline &timeline : timelines) {
+    for (const ProcessTimeline &timeline : collected.timelines) {
         dropped += timeline.dropped;
         instances.push_back(timeline.instance.value());
     }
-    return operatorJson(
-        {{"events", mergedEvents(timelines)}, {"instances", std::move(instances)}, {"dropped", dropped}});
+    Json unreachable = Json::array();
+    for (const InstanceId &instance : collected.unreachable) {
+        unreachable.push_back(instance.value());
+    }
+    return operatorJson({{"events", mergedEvents(collected.timelines)},
+                         {"instances", std::move(instances)},
+                         {"unreachable", std::move(unreachable)},
+                         {"dropped", dropped}});
 }
 
 } // namespace coriander
