--- a/lib/Scheduler/GangRun.cpp
+++ b/lib/Scheduler/GangRun.cpp
@@ -166,7 +166,8 @@
     GangMember &member = m_members.at(index);
     member.inFlight = false;
     member.nextSend = now + m_timing.resendInterval;
-    if (kind != OrderKind::Reserve && kind != OrderKind::Start) {
+    const bool known = member.state == MemberState::Ended || member.state == MemberState::Gone;
+    if (known || (kind != OrderKind::Reserve && kind != OrderKind::Start)) {
         return;
     }
     m_refusedBy.push_back(member.worker);
