--- a/include/corianderscale/Decision/Scheduler.h
+++ b/include/corianderscale/Decision/Scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Decision/Policy.h"
 #include "corianderscale/Decision/Types.h"
 
 #include <memory>
@@ -8,8 +9,6 @@
 
 namespace coriander::decision {
 
-struct Policy;
-
 /**
  * Decides for one data centre which gangs run where. Pure: same events and times give the same decisions.
  *
@@ -30,6 +29,9 @@
     /** Says why a job is where it is, or no value for an unknown job. */
     std::optional<Explanation> explain(const JobId &job, MonotonicTime now) const;
 
+    /** All gangs that hold capacity, in the order of their submission. */
+    std::vector<PlacementView> placements() const;
+
     /** When the library next wants a Tick, or NeverDue. */
     MonotonicTime nextTick() const;
 
@@ -38,7 +40,10 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
-/** Returns a policy by name: `corianderscale`, `fifo-first-fit`, `quota-best-fit`; no value for others. */
+/**
+ * Returns a policy by name: `corianderscale`, or one of the baselines `fifo-first-fit`, `quota-best-fit` and
+ * `fifo-backfill`; no value for others.
+ */
 std::optional<Policy> makePolicy(std::string_view name);
 
 /**
--- a/unittests/Protocol/MessagesTest.cpp
+++ b/unittests/Protocol/MessagesTest.cpp
@@ -1,6 +1,7 @@
 #include "corianderscale/Protocol/CallerMessages.h"
 #include "corianderscale/Protocol/EndpointMessages.h"
 #include "corianderscale/Protocol/TableMessages.h"
+#include "corianderscale/Protocol/TimelineMessages.h"
 #include "corianderscale/Protocol/WorkerMessages.h"
 
 #include <gtest/gtest.h>
@@ -70,5 +71,40 @@
     EXPECT_FALSE(decodeMessage<TableTransaction>(encodeMessage(transaction), error));
 }
 
+// Guards against events of several processes being listed by process instead of by cause and effect.
+TEST(Messages, timelinesMergeByHybridTime)
+{
+    ProcessTimeline gateway{InstanceId("gateway-1"), {{{10, 0}, "job-accepted", {}}, {{12, 1}, "job-seen", {}}}, 0};
+    const ProcessTimeline scheduler{InstanceId("scheduler-1"), {{{10, 1}, "job-placed", {{"job", "j"}}}}, 3};
+    ProtocolError error;
+    const auto decoded = decodeMessage<ProcessTimeline>(encodeMessage(scheduler), error);
+    ASSERT_TRUE(decoded) << error.reason;
+    const auto merged = mergeTimelines({gateway, *decoded});
+    ASSERT_EQ(merged.size(), 3U);
+    EXPECT_EQ(merged[0].event.event, "job-accepted");
+    EXPECT_EQ(merged[1].event.event, "job-placed");
+    EXPECT_EQ(merged[1].event.fields.at(0).value, "j");
+    EXPECT_EQ(merged[2].event.event, "job-seen");
+}
+
+// Guards against a malformed query of a peer ending the process, and against the reply losing events.
+TEST(Messages, timelineQueryIsAnswered)
+{
+    const InstanceId instance("scheduler-1");
+    EXPECT_FALSE(answerTimelineMessage("gossip", instance, {}));
+    EXPECT_EQ(answerTimelineMessage(TimelineMessage, instance, "\xff\x00"), std::string());
+    processEvents().add({{1, 0}, "job-placed", {{"job", "j-answered"}}});
+    TimelineQuery query;
+    query.filter.id = "j-answered";
+    const std::vector<std::uint8_t> body = Json::to_cbor(query.toJson());
+    const auto reply = answerTimelineMessage(TimelineMessage, instance, std::string(body.begin(), body.end()));
+    ASSERT_TRUE(reply);
+    ProtocolError error;
+    const auto timeline = decodeJson<ProcessTimeline>(Json::from_cbor(*reply), error);
+    ASSERT_TRUE(timeline) << error.reason;
+    ASSERT_EQ(timeline->events.size(), 1U);
+    EXPECT_EQ(timeline->events[0].event, "job-placed");
+}
+
 } // namespace
 } // namespace coriander
