transport: test that a paused peer times out and is used again

Cause: the tests of the peer streams covered peers that are silent before the handshake, not after it.

--- a/unittests/Transport/PeerStreamsTest.cpp
+++ b/unittests/Transport/PeerStreamsTest.cpp
@@ -99,6 +99,32 @@
     EXPECT_EQ(result.second.code, TransportCode::Unreachable) << "nothing was sent before the handshake";
 }
 
+// Guards against a paused peer holding its callers, and against its connection being given up on for good.
+TEST(PeerStreams, pausedPeerTimesOutAndIsUsedAgain)
+{
+    std::promise<void> resume;
+    std::shared_future<void> resumed = resume.get_future().share();
+    PeerStreams::Settings settings;
+    settings.instance = InstanceId("b");
+    settings.listenAddress = peerAddress(1);
+    settings.key = Key;
+    PeerStreams b(settings, systemClock(), [&](const std::string &, const InstanceId &, const std::string &body) {
+        if (body == "pause") {
+            resumed.wait();
+        }
+        return "got " + body;
+    });
+    TransportError error;
+    ASSERT_TRUE(b.start(error)) << error.reason;
+    const auto a = startStreams("a", 0, Key);
+    ASSERT_TRUE(send(*a, peerAddress(1), "x", std::chrono::seconds(20)).get().first);
+    auto paused = send(*a, peerAddress(1), "pause", std::chrono::milliseconds(100));
+    const TransportCode code = paused.get().second.code;
+    resume.set_value();
+    EXPECT_EQ(code, TransportCode::Timeout) << "the peer may have acted";
+    EXPECT_EQ(send(*a, peerAddress(1), "y", std::chrono::seconds(20)).get().first, "got y");
+}
+
 // Guards against a connection to a restarted peer being used after it broke.
 TEST(PeerStreams, reconnectsAfterAPeerRestarts)
 {
