decision: keep gangs on one partly used worker and widen the budget of moves

Change: gangs prefer one partly used worker; compaction every 10 s, up to eight workers, gangs on up to four workers; moves may cost 2.5% and save up one hour.

--- a/lib/Decision/Compaction.cpp
+++ b/lib/Decision/Compaction.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-constexpr Duration CompactionPeriod = std::chrono::seconds(20);
+constexpr Duration CompactionPeriod = std::chrono::seconds(10);
 /** Workers that may be emptied at once. */
-constexpr int MaximumEmptied = 4;
+constexpr int MaximumEmptied = 8;
+/** A gang on more workers is not moved: it would need a hole for all its tasks. */
+constexpr std::size_t MostParts = 4;
 /** A job that is nearly done is not worth a move. */
 constexpr Duration LeastLeft = std::chrono::minutes(5);
 /** Between two moves of one job. */
@@ -56,7 +58,8 @@
             continue;
         }
         const bool movable = job->state == JobState::Running && !job->guaranteed && job->request.canCheckpoint
-            && job->parts.size() == 1 && m_now - job->startedAt > LeastBetweenMoves && remainingRun(*job) > LeastLeft;
+            && job->parts.size() <= MostParts && m_now - job->startedAt > LeastBetweenMoves
+            && remainingRun(*job) > LeastLeft;
         if (!movable) {
             return false;
         }
--- a/lib/Decision/Placement.cpp
+++ b/lib/Decision/Placement.cpp
@@ -200,6 +200,13 @@
 
 std::optional<GangParts> placeTightest(const Fleet &fleet, const PlacementRequest &request)
 {
+    if (request.tasks > 1 && request.closeness != Closeness::Worker) {
+        // A gang on one partly used worker leaves fewer holes and is easier to move than one spread over several.
+        const std::optional<GangParts> together = onOneWorker(fleet, request, fragmentsLeast);
+        if (together && fleet.worker(together->front().worker).used.accelerators.count() > 0) {
+            return together;
+        }
+    }
     return placeBy(fleet, request, fragmentsLeast, tightestRack, true);
 }
 
--- a/lib/Decision/Upkeep.cpp
+++ b/lib/Decision/Upkeep.cpp
@@ -9,10 +9,10 @@
 
 /** Interval of periodic checkpoints: loses 5 minutes on average when a gang breaks, for some seconds each time. */
 constexpr Duration CheckpointInterval = std::chrono::minutes(10);
-/** Share of the fleet's accelerator time that moves may cost: half of the 3% that section 11 allows to be lost. */
-constexpr double MoveShare = 0.015;
+/** Share of the fleet's accelerator time that moves may cost; section 11 allows 3% to be lost in all. */
+constexpr double MoveShare = 0.025;
 /** The budget of moves saved up at most. */
-constexpr Duration MoveBudgetWindow = std::chrono::minutes(30);
+constexpr Duration MoveBudgetWindow = std::chrono::minutes(60);
 /** A job that runs longer than expected is taken to need this share of its run time again. */
 constexpr double OverrunShare = 0.5;
 
