decision: bound how many jobs of one caller a pass looks at

Cause: a flood filled the list of jobs that one pass looks at, so preempted jobs of other callers were never tried again. Change: at most 16 jobs of a caller and class are looked at in a pass; only urgent work and callers below their share search for victims, up to three times in a pass.

--- a/lib/Decision/SchedulingPass.cpp
+++ b/lib/Decision/SchedulingPass.cpp
@@ -12,10 +12,12 @@
 constexpr std::size_t MaximumFailedShapes = 12;
 /** Jobs looked at in one pass. */
 constexpr std::size_t MaximumExamined = 400;
+/** Jobs of one caller and class looked at in one pass. */
+constexpr std::size_t MaximumExaminedPerCaller = 16;
 /** Jobs of one caller and class that may fail before the caller is skipped. */
 constexpr std::size_t MaximumFailedPerCaller = 4;
 /** Searches for victims in one pass. */
-constexpr std::size_t MaximumPreemptions = 2;
+constexpr std::size_t MaximumPreemptions = 3;
 /** How long an assigned job waits for its victims before it looks for other workers. */
 constexpr Duration AssignedPatience = CheckpointBound + std::chrono::seconds(30);
 
@@ -280,16 +282,24 @@
     std::vector<Job *> candidates;
     std::vector<FailedShape> failed;
     std::map<std::pair<JobClass, std::uint32_t>, std::size_t> failedPerCaller;
+    std::map<std::pair<JobClass, std::uint32_t>, std::size_t> examinedPerCaller;
     bool placedAny = false;
     std::size_t preemptions = 0;
     std::set<OrganisationIndex> blocked;
     // The queue must not change while it is visited, so candidates are collected first, in order.
     m_queue.inOrder([this](const Job &job) { return orderOf(job); },
-                    [this, &candidates](Job &job) {
+                    [&](Job &job) {
                         candidates.push_back(&job);
-                        const bool bounded = m_policy.blocking == Blocking::Nobody;
-                        return bounded && candidates.size() >= MaximumExamined ? JobQueue::Next::Stop
-                                                                               : JobQueue::Next::Continue;
+                        if (m_policy.blocking != Blocking::Nobody) {
+                            return JobQueue::Next::Continue;
+                        }
+                        if (candidates.size() >= MaximumExamined) {
+                            return JobQueue::Next::Stop;
+                        }
+                        // Without this bound the jobs of one flood would hide those of all others.
+                        return ++examinedPerCaller[{job.request.jobClass, job.caller}] >= MaximumExaminedPerCaller
+                            ? JobQueue::Next::SkipCaller
+                            : JobQueue::Next::Continue;
                     });
     for (Job *job : candidates) {
         if (job->state != JobState::Waiting || failed.size() >= MaximumFailedShapes
@@ -321,7 +331,8 @@
             placedAny = true;
             continue;
         }
-        if (m_policy.preempts && preemptions < MaximumPreemptions) {
+        const bool mayPreempt = m_policy.preempts && (job->request.jobClass == JobClass::Urgent || belowShare(*job));
+        if (mayPreempt && preemptions < MaximumPreemptions) {
             ++preemptions;
             if (tryPreempt(*job)) {
                 placedAny = true;
