--- a/unittests/Decision/SchedulerTest.cpp
+++ b/unittests/Decision/SchedulerTest.cpp
@@ -1,5 +1,8 @@
 #include "corianderscale/Decision/Scheduler.h"
 
+#include "corianderscale/Decision/JobQueue.h"
+#include "corianderscale/Decision/Learning.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -97,6 +100,157 @@
     EXPECT_EQ(only<StartGang>(scheduler.handle(JobSubmitted{job("small", 1, 1)}, at(1))).size(), 1U);
 }
 
+/** Runs one job to its end; fails it when it is placed on @p bad. Returns all decisions. */
+std::vector<Decision> runOne(Scheduler &scheduler,
+                             const JobRequest &request,
+                             const std::string &bad,
+                             std::int64_t &clock)
+{
+    std::vector<Decision> all = scheduler.handle(JobSubmitted{request}, at(++clock));
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (const auto *start = std::get_if<StartGang>(&all[i])) {
+            const StartGang started = *start;
+            scheduler.handle(GangStarted{started.job, started.attempt}, at(++clock));
+            const bool fails = started.placement.front().value() == bad;
+            const GangEnded ended{started.job, started.attempt, !fails, fails ? WorkerId(bad) : WorkerId()};
+            for (const Event &event : {Event(ended), Event(Tick{})}) {
+                clock += 2;
+                const auto more = scheduler.handle(event, at(clock));
+                all.insert(all.end(), more.begin(), more.end());
+            }
+        }
+    }
+    return all;
+}
+
+// Guards against a worker that fails everything swallowing the queue, and against its never being used again.
+TEST(Quarantine, badWorkerIsTakenOutProbedAndLetBack)
+{
+    Scheduler scheduler = schedulerWith("corianderscale", 8);
+    std::int64_t clock = 0;
+    std::size_t taken = 0;
+    for (int i = 0; i < 12; ++i) {
+        JobRequest request = job("j" + std::to_string(i), 1, 1);
+        request.kind = "kind-" + std::to_string(i % 4);
+        const auto decisions = runOne(scheduler, request, "w0", clock);
+        EXPECT_TRUE(only<FailJob>(decisions).empty());
+        taken += only<QuarantineWorker>(decisions).size();
+    }
+    EXPECT_EQ(taken, 1U);
+    clock += 3600;
+    std::size_t released = 0;
+    for (int i = 0; i < 4; ++i) {
+        released += only<ReleaseWorker>(runOne(scheduler, job("p" + std::to_string(i), 1, 1), "", clock)).size();
+    }
+    EXPECT_EQ(released, 1U);
+}
+
+// Guards against a job that fails everywhere taking good workers out.
+TEST(Quarantine, badJobFailsForGoodAndNoWorkerIsBlamed)
+{
+    Scheduler scheduler = schedulerWith("corianderscale", 6);
+    std::int64_t clock = 0;
+    std::size_t failed = 0;
+    for (int i = 0; i < 4; ++i) {
+        std::vector<Decision> decisions
+            = scheduler.handle(JobSubmitted{job("b" + std::to_string(i), 1, 1)}, at(++clock));
+        for (std::size_t d = 0; d < decisions.size(); ++d) {
+            EXPECT_EQ(std::get_if<QuarantineWorker>(&decisions[d]), nullptr);
+            failed += std::holds_alternative<FailJob>(decisions[d]) ? 1 : 0;
+            if (const auto *start = std::get_if<StartGang>(&decisions[d])) {
+                const GangEnded ended{start->job, start->attempt, false, start->placement.front()};
+                for (const Event &event : {Event(ended), Event(Tick{})}) {
+                    clock += 2;
+                    const auto more = scheduler.handle(event, at(clock));
+                    decisions.insert(decisions.end(), more.begin(), more.end());
+                }
+            }
+        }
+    }
+    EXPECT_EQ(failed, 4U);
+}
+
+// Guards against a flood of background work pushing out urgent work, and against an unbounded queue.
+TEST(Queue, shedsTheNewestOfTheLeastUrgentClassFirst)
+{
+    Scheduler scheduler = schedulerWith("corianderscale", 1);
+    JobRequest blocker = job("blocker", 8, 1);
+    blocker.jobClass = JobClass::Urgent;
+    scheduler.handle(JobSubmitted{blocker}, at(0));
+    for (std::size_t i = 0; i < MaximumWaitingPerCaller; ++i) {
+        JobRequest request = job("f" + std::to_string(i), 1, 1);
+        request.jobClass = i % 2 == 0 ? JobClass::Background : JobClass::Normal;
+        EXPECT_TRUE(only<RefuseJob>(scheduler.handle(JobSubmitted{request}, at(1))).empty());
+    }
+    JobRequest urgent = job("urgent", 1, 1);
+    urgent.jobClass = JobClass::Urgent;
+    const auto refused = only<RefuseJob>(scheduler.handle(JobSubmitted{urgent}, at(2)));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].job.value(), "f" + std::to_string(MaximumWaitingPerCaller - 2));
+    EXPECT_EQ(refused[0].code, "overloaded");
+}
+
+// Guards against a deadline that is reported only when it has passed, and against a job that waits without a reason.
+TEST(Scheduler, reportsDeadlineEarlyAndSaysWhyAJobWaits)
+{
+    Scheduler scheduler = schedulerWith("corianderscale", 1);
+    scheduler.handle(JobSubmitted{job("first", 8, 1)}, at(0));
+    JobRequest late = job("late", 8, 1);
+    late.declaredRun = std::chrono::seconds(600);
+    late.deadline = at(1000);
+    EXPECT_TRUE(only<DeadlineAtRisk>(scheduler.handle(JobSubmitted{late}, at(1))).empty());
+    std::vector<DeadlineAtRisk> reported;
+    for (std::int64_t second = 5; second < 1000 && reported.empty(); second += 5) {
+        reported = only<DeadlineAtRisk>(scheduler.handle(Tick{}, at(second)));
+        EXPECT_LE(second, 465);
+    }
+    EXPECT_EQ(reported.size(), 1U);
+    const auto why = scheduler.explain(JobId("late"), at(500));
+    ASSERT_TRUE(why);
+    EXPECT_EQ(why->state, "waiting");
+    EXPECT_FALSE(why->reason.empty());
+    EXPECT_FALSE(why->remedy.empty());
+    const auto refused = only<RefuseJob>(scheduler.handle(Tick{}, at(1100)));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].code, "too-late");
+}
+
+// Guards against wrong declared run times and sizes being believed for ever.
+TEST(Learning, correctsDeclaredRunTimesAndSizes)
+{
+    Learning learning;
+    JobRequest request = job("j", 1, 1);
+    request.declaredRun = std::chrono::hours(1);
+    for (int i = 0; i < 30; ++i) {
+        learning.recordRun(request, std::chrono::minutes(6));
+        learning.recordUse(request, {MilliCores(400), MemoryMib(512), Accelerators(1)});
+    }
+    EXPECT_EQ(learning.expectedRun(request), std::chrono::minutes(6));
+    EXPECT_EQ(learning.expectedSize(request).cores, MilliCores(500));
+    EXPECT_EQ(learning.expectedSize(request).accelerators, Accelerators(1));
+    request.kind = "new-kind";
+    EXPECT_LT(learning.expectedRun(request), std::chrono::minutes(7));
+}
+
+// Guards against a new owner restarting or lending what runs on a guarantee.
+TEST(Scheduler, adoptedJobKeepsPlacementAndGuarantee)
+{
+    Scheduler scheduler = schedulerWith("corianderscale", 2);
+    OrganisationPolicy owner;
+    owner.id = OrganisationId("org-a");
+    owner.guarantees = {{DataCentreId("dc"), Accelerators(8), Closeness::Worker, 1}};
+    scheduler.handle(OrganisationsChanged{{owner}}, at(0));
+    const auto decisions
+        = scheduler.handle(JobAdopted{job("kept", 2, 4), {WorkerId("w1"), WorkerId("w1")}, at(0), true, 3}, at(1));
+    EXPECT_TRUE(only<StartGang>(decisions).empty());
+    EXPECT_TRUE(only<StopGang>(decisions).empty());
+    const auto placed = scheduler.placements();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].attempt, 3);
+    EXPECT_TRUE(placed[0].guaranteed);
+    EXPECT_EQ(placed[0].placement, GangPlacement(2, WorkerId("w1")));
+}
+
 // Guards against the document check accepting guarantees that cannot be had together.
 TEST(Packing, namesTheShapeThatDoesNotFit)
 {
