decision: explain when a job waits for headroom

Cause: explain named the order of the queue for jobs held back by the fair part or the headroom. Change: it names the reason and the remedy.

--- a/lib/Decision/Explain.cpp
+++ b/lib/Decision/Explain.cpp
@@ -96,6 +96,13 @@
         result.remedy = "return or replace the lost workers";
         return result;
     }
+    if (takesHeadroom(job)) {
+        result.reason
+            = "its organisation or caller holds more than its fair part while others below theirs submit work";
+        result.remedy
+            = "wait until more accelerators are free or its own jobs end; jobs that can checkpoint start earlier";
+        return result;
+    }
     const PlacementRequest request = requestFor(job, size);
     if (!m_policy.chooseWorkers(m_fleet, request)) {
         result.reason = "no workers have room for " + shape;
