--- a/include/corianderscale/Gateway/DocumentPoller.h
+++ b/include/corianderscale/Gateway/DocumentPoller.h
@@ -19,12 +19,14 @@
 class DocumentPoller
 {
 public:
-    using Found = std::function<void(DocumentVersion, std::shared_ptr<const Document>)>;
+    using Found = std::function<void(const DocumentHead &, std::shared_ptr<const Document>)>;
 
     DocumentPoller(GatewayHooks &hooks, Store &store, std::string environment, Found found);
 
     /** Reads now and then again every 2 s. */
     void poll();
+    /** Reads once, now. */
+    void readHead();
 
 private:
     void readVersion(const DocumentHead &head);
--- a/include/corianderscale/Gateway/EndpointDirectory.h
+++ b/include/corianderscale/Gateway/EndpointDirectory.h
@@ -89,6 +89,9 @@
     /** Whether the endpoint may get new work now, slots aside. */
     bool usable(const EndpointEntry &endpoint, MonotonicTime now) const;
 
+    /** The endpoints as operators see them. */
+    Json toJson(MonotonicTime now) const;
+
     const EndpointEntry *find(const EndpointId &endpoint) const;
     const std::map<EndpointId, EndpointEntry> &entries() const;
     /** Endpoints of a service, in the order of their ids. */
--- /dev/null
+++ b/include/corianderscale/Scheduler/WorkerLink.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "corianderscale/Coordination/Store.h"
+#include "corianderscale/Scheduler/SchedulerCore.h"
+#include "corianderscale/Transport/BoundedRing.h"
+#include "corianderscale/Transport/DutyThread.h"
+#include "corianderscale/Transport/HttpClient.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace coriander {
+
+/** What the worker link learns; called on threads of the HTTP library. Precondition: all are set. */
+struct WorkerLinkOutputs {
+    std::function<void(const WorkerRequest &request, std::optional<WorkerReport> report, bool notSent)> answered;
+    std::function<void(const WorkerInfo &info, const std::string &address)> seen;
+    std::function<void(const WorkerId &worker)> unlisted;
+    /** Every worker of the platform's list has been looked up or did not answer. */
+    std::function<void()> listed;
+};
+
+/**
+ * The duty that talks to workers: sends requests, and finds workers through the platform's VM list.
+ *
+ * Thread safety: send() and lookUpSoon() from any thread.
+ */
+class WorkerLink
+{
+public:
+    WorkerLink(DataCentreId dataCentre,
+               Duration lookupInterval,
+               Store &store,
+               HttpClient &client,
+               Clock clock,
+               WorkerLinkOutputs outputs);
+    ~WorkerLink();
+
+    void start();
+    void stop();
+
+    /** Queues a request; it is answered exactly once. */
+    void send(WorkerRequest request);
+
+    /** Reads the VM list now. */
+    void lookUpSoon()
+    {
+        m_lookUpNow = true;
+    }
+
+private:
+    struct Round;
+
+    void step();
+    void transmit(WorkerRequest request);
+    void lookUp();
+    void lookUpWorkers(const VmList &list);
+
+    DataCentreId m_dataCentre;
+    Duration m_lookupInterval;
+    Store &m_store;
+    HttpClient &m_client;
+    Clock m_clock;
+    WorkerLinkOutputs m_outputs;
+    BoundedRing<WorkerRequest> m_requests;
+    std::atomic<bool> m_lookUpNow = true;
+    std::atomic<bool> m_lookingUp = false;
+    MonotonicTime m_nextLookUp{};
+    std::set<std::string> m_listed;
+    std::unique_ptr<DutyThread> m_thread;
+};
+
+} // namespace coriander
--- a/lib/Gateway/DocumentPoller.cpp
+++ b/lib/Gateway/DocumentPoller.cpp
@@ -20,6 +20,12 @@
 }
 
 void DocumentPoller::poll()
+{
+    readHead();
+    m_hooks.at(m_hooks.clock.now() + Interval, [this] { poll(); });
+}
+
+void DocumentPoller::readHead()
 {
     m_store.read({documentHeadKey(m_environment)},
                  m_hooks.clock.now() + ReadLimit,
@@ -35,7 +41,6 @@
                          }
                      });
                  });
-    m_hooks.at(m_hooks.clock.now() + Interval, [this] { poll(); });
 }
 
 void DocumentPoller::readVersion(const DocumentHead &head)
@@ -61,7 +66,7 @@
     }
     m_version = head.version;
     logEvent(LogLevel::Info, "document-in-force", {{"version", head.version}, {"digest", head.digest}});
-    m_found(head.version, std::make_shared<const Document>(std::move(*document)));
+    m_found(head, std::make_shared<const Document>(std::move(*document)));
 }
 
 } // namespace coriander
--- a/lib/Gateway/EndpointDirectory.cpp
+++ b/lib/Gateway/EndpointDirectory.cpp
@@ -181,6 +181,29 @@
     return usable(endpoint, now) ? std::max<std::int64_t>(0, share(endpoint, now) - endpoint.used) : 0;
 }
 
+Json EndpointDirectory::toJson(MonotonicTime now) const
+{
+    Json list = Json::array();
+    for (const auto &[id, entry] : m_entries) {
+        Json services = Json::array();
+        for (const ServiceName &service : entry.services) {
+            services.push_back(service.value());
+        }
+        list.push_back({{"id", id.value()},
+                        {"address", entry.address},
+                        {"dataCentre", entry.dataCentre.value()},
+                        {"incarnation", entry.incarnation.value()},
+                        {"state", entry.listedLeaving || entry.heardLeaving ? "leaving" : "live"},
+                        {"usable", usable(entry, now)},
+                        {"ejected", entry.ejected && now < entry.ejectedUntil},
+                        {"services", std::move(services)},
+                        {"slots", entry.slots},
+                        {"share", share(entry, now)},
+                        {"used", entry.used}});
+    }
+    return list;
+}
+
 const EndpointEntry *EndpointDirectory::find(const EndpointId &endpoint) const
 {
     const auto found = m_entries.find(endpoint);
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -6,10 +6,12 @@
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
+#include "corianderscale/Gateway/OperatorView.h"
 #include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
+#include <atomic>
 #include <mutex>
 #include <random>
 
@@ -22,6 +24,7 @@
 constexpr Duration VmListLimit = std::chrono::seconds(1);
 constexpr Duration AnnounceInterval = std::chrono::seconds(2);
 constexpr Duration MembershipInterval = std::chrono::milliseconds(100);
+constexpr std::size_t DigestDigits = 64;
 constexpr Duration SignalWait = std::chrono::milliseconds(100);
 constexpr Duration MetricsInterval = std::chrono::seconds(1);
 /** Kept of the drain time for closing the counters. */
@@ -49,6 +52,8 @@
     Membership::Settings memberSettings() const;
     Membership::Hooks memberHooks();
     void stepMembership();
+    void refreshView();
+    OperatorHooks operatorHooks();
     void refreshVms();
     void takeVms(const VmList &list);
     void refreshMetrics();
@@ -72,6 +77,9 @@
     Membership m_membership;
     RetryAllowance m_retries;
     GatewayCore m_core;
+    OperatorView m_view;
+    DocumentVersion m_version;
+    std::atomic<bool> m_draining = false;
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
     GatewayMetrics m_metrics;
@@ -117,9 +125,11 @@
     , m_documents(m_hooks,
                   m_store,
                   m_common.environment,
-                  [this](DocumentVersion, const std::shared_ptr<const Document> &document) {
+                  [this](const DocumentHead &head, const std::shared_ptr<const Document> &document) {
                       m_core.setDocument(document);
-                      m_status->ready = true;
+                      m_view.setDocument({head, document});
+                      m_version = head.version;
+                      m_status->ready = !m_draining;
                   })
     , m_status(std::make_shared<DaemonStatus>())
     , m_metrics(*m_status->metrics)
@@ -222,6 +232,47 @@
     m_loop.at(m_clock.now() + MembershipInterval, [this] { stepMembership(); });
 }
 
+void GatewayDaemon::refreshView()
+{
+    std::vector<InstanceView> instances;
+    for (const Member &member : m_membership.members()) {
+        InstanceView view;
+        view.member = member;
+        const bool own = member.instance == m_common.instance;
+        view.version = own ? m_version : DocumentVersion(0);
+        view.cutOff = own && m_store.state() == StoreState::Away;
+        instances.push_back(std::move(view));
+    }
+    m_view.setInstances(std::move(instances));
+    m_view.setEndpoints(m_core.endpoints().toJson(m_clock.now()));
+}
+
+OperatorHooks GatewayDaemon::operatorHooks()
+{
+    OperatorHooks hooks;
+    hooks.clock = m_clock;
+    hooks.store = &m_store;
+    hooks.environment = m_common.environment;
+    hooks.instance = m_common.instance;
+    hooks.bootstrapDigest = m_settings.bootstrapDigest;
+    hooks.document = [this] {
+        return m_view.document();
+    };
+    hooks.instances = [this] {
+        return m_view.instances();
+    };
+    hooks.endpoints = [this] {
+        return m_view.endpoints();
+    };
+    hooks.accepted = [this](const std::string &, const AcceptedDocument &) {
+        m_loop.post([this] { m_documents.readHead(); });
+    };
+    hooks.jobChanged = [this](const DataCentreId &dataCentre, const JobId &job) {
+        m_loop.post([this, dataCentre, job] { m_core.peers().tellJob(dataCentre, job); });
+    };
+    return hooks;
+}
+
 void GatewayDaemon::takeVms(const VmList &list)
 {
     std::vector<std::string> contacts;
@@ -250,6 +301,7 @@
 void GatewayDaemon::refreshMetrics()
 {
     m_metrics.update(m_core.numbers());
+    refreshView();
     m_loop.at(m_clock.now() + MetricsInterval, [this] { refreshMetrics(); });
 }
 
@@ -280,6 +332,7 @@
     setLogProcess("coriander-gateway", m_common.instance.value());
     addStatusRoutes(m_server, m_status);
     addCallerRoutes(m_server, m_loop, m_core);
+    registerOperatorRoutes(m_server, operatorHooks());
     m_loop.start();
     TransportError error;
     if (!m_peers.start(error) || !m_server.start(error)) {
@@ -306,6 +359,7 @@
 {
     const MonotonicTime limit = m_clock.now() + std::chrono::milliseconds(m_common.drainMs);
     logEvent(LogLevel::Info, "draining", {{"limit_ms", m_common.drainMs}});
+    m_draining = true;
     m_status->ready = false;
     if (m_settings.announce) {
         announce("leaving");
@@ -369,6 +423,12 @@
     result.gateway.queue.maximumPerCaller
         = static_cast<std::size_t>(settings.integer("maximum_queued_per_caller", 500, 1, 100'000));
     result.gateway.pollInterval = std::chrono::milliseconds(settings.integer("endpoint_poll_ms", 2000, 100, 2500));
+    result.bootstrapDigest = settings.text("bootstrap_digest", {});
+    if (!result.bootstrapDigest.empty()
+        && (result.bootstrapDigest.size() != DigestDigits
+            || result.bootstrapDigest.find_first_not_of("0123456789abcdef") != std::string::npos)) {
+        settings.fault("bootstrap_digest", "expected the SHA-256 of a token, 64 lower-case hexadecimal digits");
+    }
     result.announce = settings.boolean("announce", false);
     return result;
 }
--- a/lib/Gateway/RequestService.cpp
+++ b/lib/Gateway/RequestService.cpp
@@ -53,7 +53,6 @@
     const MonotonicTime now = clock.now();
     const std::chrono::milliseconds queueLimit(exchange.service.queueLimitMs);
     const std::chrono::milliseconds runLimit(exchange.service.runLimitMs);
-    const Duration runTime = m_parts.timing.mean(exchange.request.service);
     if (exchange.request.deadlineUnixMs == 0) {
         exchange.startDeadline = now + queueLimit;
         exchange.deadline = now + queueLimit + runLimit;
@@ -61,7 +60,7 @@
     }
     const MonotonicTime asked = toMonotonic(fromUnixMs(exchange.request.deadlineUnixMs), clock);
     exchange.deadline = std::min(asked, now + LongestWait);
-    exchange.startDeadline = exchange.deadline - runTime;
+    exchange.startDeadline = m_parts.timing.startDeadline(exchange.request.service, now, exchange.deadline);
     return exchange.startDeadline > now;
 }
 
--- a/lib/Gateway/ServiceTiming.cpp
+++ b/lib/Gateway/ServiceTiming.cpp
@@ -9,6 +9,7 @@
 
 constexpr double Weight = 1.0 / 16;
 constexpr double Deviations = 4;
+constexpr double StartDeviations = 3;
 constexpr Duration LeastHedgeDelay = std::chrono::milliseconds(10);
 /** Used until run times are known. */
 constexpr Duration FirstHedgeDelay = std::chrono::seconds(1);
@@ -33,6 +34,16 @@
     return found == m_services.end() ? Duration(0) : Duration(std::llround(found->second.mean));
 }
 
+MonotonicTime ServiceTiming::startDeadline(const ServiceName &service, MonotonicTime now, MonotonicTime deadline) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return deadline;
+    }
+    const Duration likely(std::llround(found->second.mean + StartDeviations * found->second.deviation));
+    return deadline - std::max(mean(service), std::min(likely, (deadline - now) / 2));
+}
+
 Duration ServiceTiming::hedgeDelay(const ServiceName &service) const
 {
     const auto found = m_services.find(service);
--- a/tools/bench-routing/Simulation.cpp
+++ b/tools/bench-routing/Simulation.cpp
@@ -157,7 +157,7 @@
     slot.service = kind.service;
     slot.urgency = kind.urgency;
     slot.caller = {OrganisationId("o"), CallerId("c" + std::to_string(source))};
-    slot.startDeadline = arrivedAt + m_settings.deadline - gateway.timing.mean(kind.service);
+    slot.startDeadline = gateway.timing.startDeadline(kind.service, arrivedAt, arrivedAt + m_settings.deadline);
     slot.start = [this, source, runTime, arrivedAt, &gateway](SlotLease lease) {
         ++m_sends;
         m_result.sources[source].wait.add(m_clock.now() - arrivedAt);
