--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -4,6 +4,7 @@
 #include "corianderscale/Coordination/StoreClient.h"
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Daemon/ShutdownSignals.h"
+#include "corianderscale/Gateway/CallerLimits.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
 #include "corianderscale/Gateway/OperatorView.h"
@@ -76,6 +77,7 @@
     std::mutex m_membershipMutex;
     Membership m_membership;
     RetryAllowance m_retries;
+    CallerLimits m_limits;
     GatewayCore m_core;
     OperatorView m_view;
     DocumentVersion m_version;
@@ -121,12 +123,13 @@
                     [this] {
                         return m_retries.spend();
                     }},
-          [](const CallerKey &) { return std::optional<ErrorBody>(); })
+          [this](const CallerKey &caller) { return m_limits.admit(caller, m_clock.now()); })
     , m_documents(m_hooks,
                   m_store,
                   m_common.environment,
                   [this](const DocumentHead &head, const std::shared_ptr<const Document> &document) {
                       m_core.setDocument(document);
+                      m_limits.setDocument(*document, m_clock.now());
                       m_view.setDocument({head, document});
                       m_version = head.version;
                       m_status->ready = !m_draining;
@@ -228,6 +231,7 @@
     }
     const int instances = m_membership.count(MemberRole::Gateway) + m_membership.count(MemberRole::Scheduler);
     m_store.setLiveInstances(instances);
+    m_limits.setLiveGateways(m_membership.count(MemberRole::Gateway), m_clock.now());
     m_core.setMembers(m_membership.members());
     m_loop.at(m_clock.now() + MembershipInterval, [this] { stepMembership(); });
 }
