--- a/include/corianderscale/Gateway/GatewayDaemon.h
+++ b/include/corianderscale/Gateway/GatewayDaemon.h
@@ -7,7 +7,7 @@
 
 /**
  * Reads the settings of the gateway: the common ones, `maximum_queued`, `maximum_queued_per_caller`,
- * `endpoint_poll_ms`, `announce` and `bootstrap_digest`.
+ * `endpoint_poll_ms`, `announce` and `bootstrap_operator_digest`.
  */
 struct GatewayDaemonSettings {
     GatewaySettings gateway;
--- a/include/corianderscale/Gateway/OperatorView.h
+++ b/include/corianderscale/Gateway/OperatorView.h
@@ -1,64 +1,46 @@
 #pragma once
 
+#include "corianderscale/Daemon/CommonSettings.h"
 #include "corianderscale/Gateway/OperatorRoutes.h"
 
 #include <mutex>
-#include <optional>
-#include <utility>
-#include <vector>
 
 namespace coriander {
 
 /**
- * What the operators' routes read of the gateway. The gateway's thread refreshes it, so that the routes, which run on
- * threads of their own, never wait for that thread.
+ * What the gateway's thread knows and the operators' threads show.
  *
- * Thread safety: any thread.
+ * Thread safety: all methods from any thread.
  */
 class OperatorView
 {
 public:
-    void setDocument(DocumentInForce document)
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_document = std::move(document);
-    }
+    /** @p store must outlive the view. */
+    OperatorView(CommonSettings common, std::string bootstrapDigest, Store &store, Clock clock);
 
-    void setInstances(std::vector<InstanceView> instances)
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_instances = std::move(instances);
-    }
+    /** Takes the document that is in force from now on. */
+    void setDocument(const DocumentHead &head, std::shared_ptr<const Document> document);
+    /** Takes the other live members of this environment. */
+    void setMembers(std::vector<Member> members);
 
-    void setEndpoints(Json endpoints)
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_endpoints = std::move(endpoints);
-    }
-
-    std::optional<DocumentInForce> document() const
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_document;
-    }
-
-    std::vector<InstanceView> instances() const
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_instances;
-    }
-
-    Json endpoints() const
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_endpoints;
-    }
+    /** Hooks for registerOperatorRoutes(); the view must outlive the server. */
+    OperatorHooks hooks();
 
 private:
-    mutable std::mutex m_mutex;
+    std::vector<InstanceView> instances();
+
+    CommonSettings m_common;
+    std::string m_bootstrapDigest;
+    Store &m_store;
+    Clock m_clock;
+    std::mutex m_mutex;
     std::optional<DocumentInForce> m_document;
-    std::vector<InstanceView> m_instances;
-    Json m_endpoints = Json::array();
+    std::vector<Member> m_members;
+    /** Since when the store has been seen away; 0 when it is not. */
+    std::int64_t m_awaySinceUnixMs = 0;
 };
 
+/** Reads `bootstrap_operator_digest`: the SHA-256 digest of the token for the first document; may be missing. */
+std::string readBootstrapDigest(YamlMap &settings);
+
 } // namespace coriander
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -1,14 +1,14 @@
 #include "corianderscale/Gateway/GatewayDaemon.h"
 
+#include "corianderscale/Coordination/Limits.h"
 #include "corianderscale/Coordination/Membership.h"
+#include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Coordination/StoreClient.h"
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Daemon/ShutdownSignals.h"
-#include "corianderscale/Gateway/CallerLimits.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
 #include "corianderscale/Gateway/OperatorView.h"
-#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
@@ -25,7 +25,6 @@
 constexpr Duration VmListLimit = std::chrono::seconds(1);
 constexpr Duration AnnounceInterval = std::chrono::seconds(2);
 constexpr Duration MembershipInterval = std::chrono::milliseconds(100);
-constexpr std::size_t DigestDigits = 64;
 constexpr Duration SignalWait = std::chrono::milliseconds(100);
 constexpr Duration MetricsInterval = std::chrono::seconds(1);
 /** Kept of the drain time for closing the counters. */
@@ -52,6 +51,7 @@
     std::string onPeerMessage(const std::string &message, const InstanceId &from, const std::string &body);
     Membership::Settings memberSettings() const;
     Membership::Hooks memberHooks();
+    std::optional<ErrorBody> admit(const CallerKey &caller);
     void stepMembership();
     void refreshView();
     OperatorHooks operatorHooks();
@@ -76,15 +76,16 @@
     /** Serialises the peer thread and the gateway's thread at the membership. */
     std::mutex m_membershipMutex;
     Membership m_membership;
-    RetryAllowance m_retries;
-    CallerLimits m_limits;
+    RetryBudget m_retries{RetryBudget::Settings()};
+    Limits m_limits;
     GatewayCore m_core;
-    OperatorView m_view;
-    DocumentVersion m_version;
+    std::mutex m_endpointsMutex;
+    Json m_endpoints = Json::array();
     std::atomic<bool> m_draining = false;
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
     GatewayMetrics m_metrics;
+    OperatorView m_operators;
     HttpServer m_server;
 };
 
@@ -119,23 +120,22 @@
           [this](const auto &address, const auto &message, std::string body, MonotonicTime deadline, auto done) {
               sendPeer(address, message, std::move(body), deadline, std::move(done));
           },
-          RetryGate{[this] { m_retries.noteSend(); },
+          RetryGate{[this] { m_retries.sent(); },
                     [this] {
-                        return m_retries.spend();
+                        return m_retries.tryRetry();
                     }},
-          [this](const CallerKey &caller) { return m_limits.admit(caller, m_clock.now()); })
+          [this](const CallerKey &caller) { return admit(caller); })
     , m_documents(m_hooks,
                   m_store,
                   m_common.environment,
                   [this](const DocumentHead &head, const std::shared_ptr<const Document> &document) {
                       m_core.setDocument(document);
-                      m_limits.setDocument(*document, m_clock.now());
-                      m_view.setDocument({head, document});
-                      m_version = head.version;
+                      m_operators.setDocument(head, document);
                       m_status->ready = !m_draining;
                   })
     , m_status(std::make_shared<DaemonStatus>())
     , m_metrics(*m_status->metrics)
+    , m_operators(m_common, m_settings.bootstrapDigest, m_store, m_clock)
     , m_server(m_common.listen, HttpServerLimits())
 {
 }
@@ -223,6 +223,34 @@
     return hooks;
 }
 
+std::optional<ErrorBody> GatewayDaemon::admit(const CallerKey &caller)
+{
+    const OrganisationSpec *organisation = m_core.api().document()->findOrganisation(caller.organisation);
+    if (organisation == nullptr) {
+        return std::nullopt;
+    }
+    const auto rate = [](std::int64_t perSecond, std::int64_t burst) {
+        return RateLimit{static_cast<double>(perSecond), static_cast<double>(burst)};
+    };
+    RateLimit own;
+    for (const CallerSpec &spec : organisation->callers) {
+        if (spec.id == caller.caller) {
+            own = rate(spec.requestsPerSecond, spec.burst);
+        }
+    }
+    const RateLimit whole = rate(organisation->requestsPerSecond, organisation->requestsPerSecond);
+    const auto refusal = m_limits.tryTake(m_clock.now(), caller.organisation, whole, caller.caller, own);
+    if (!refusal) {
+        return std::nullopt;
+    }
+    const char *who = refusal->scope == LimitScope::Caller ? "caller" : "organisation";
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refusal->retryAfter);
+    return ErrorBody{"overloaded",
+                     Outcome::Rejected,
+                     std::string("the ") + who + " sends more requests a second than the document allows; slow down",
+                     std::max<std::int64_t>(1, wait.count())};
+}
+
 void GatewayDaemon::stepMembership()
 {
     {
@@ -231,42 +259,26 @@
     }
     const int instances = m_membership.count(MemberRole::Gateway) + m_membership.count(MemberRole::Scheduler);
     m_store.setLiveInstances(instances);
-    m_limits.setLiveGateways(m_membership.count(MemberRole::Gateway), m_clock.now());
+    m_limits.setLiveGateways(m_membership.count(MemberRole::Gateway));
     m_core.setMembers(m_membership.members());
     m_loop.at(m_clock.now() + MembershipInterval, [this] { stepMembership(); });
 }
 
 void GatewayDaemon::refreshView()
 {
-    std::vector<InstanceView> instances;
-    for (const Member &member : m_membership.members()) {
-        InstanceView view;
-        view.member = member;
-        const bool own = member.instance == m_common.instance;
-        view.version = own ? m_version : DocumentVersion(0);
-        view.cutOff = own && m_store.state() == StoreState::Away;
-        instances.push_back(std::move(view));
-    }
-    m_view.setInstances(std::move(instances));
-    m_view.setEndpoints(m_core.endpoints().toJson(m_clock.now()));
+    std::vector<Member> others = m_membership.members();
+    std::erase_if(others, [this](const Member &member) { return member.instance == m_common.instance; });
+    m_operators.setMembers(std::move(others));
+    const std::lock_guard<std::mutex> lock(m_endpointsMutex);
+    m_endpoints = m_core.endpoints().toJson(m_clock.now());
 }
 
 OperatorHooks GatewayDaemon::operatorHooks()
 {
-    OperatorHooks hooks;
-    hooks.clock = m_clock;
-    hooks.store = &m_store;
-    hooks.environment = m_common.environment;
-    hooks.instance = m_common.instance;
-    hooks.bootstrapDigest = m_settings.bootstrapDigest;
-    hooks.document = [this] {
-        return m_view.document();
-    };
-    hooks.instances = [this] {
-        return m_view.instances();
-    };
+    OperatorHooks hooks = m_operators.hooks();
     hooks.endpoints = [this] {
-        return m_view.endpoints();
+        const std::lock_guard<std::mutex> lock(m_endpointsMutex);
+        return m_endpoints;
     };
     hooks.accepted = [this](const std::string &, const AcceptedDocument &) {
         m_loop.post([this] { m_documents.readHead(); });
@@ -427,13 +439,8 @@
     result.gateway.queue.maximumPerCaller
         = static_cast<std::size_t>(settings.integer("maximum_queued_per_caller", 500, 1, 100'000));
     result.gateway.pollInterval = std::chrono::milliseconds(settings.integer("endpoint_poll_ms", 2000, 100, 2500));
-    result.bootstrapDigest = settings.text("bootstrap_digest", {});
-    if (!result.bootstrapDigest.empty()
-        && (result.bootstrapDigest.size() != DigestDigits
-            || result.bootstrapDigest.find_first_not_of("0123456789abcdef") != std::string::npos)) {
-        settings.fault("bootstrap_digest", "expected the SHA-256 of a token, 64 lower-case hexadecimal digits");
-    }
     result.announce = settings.boolean("announce", false);
+    result.bootstrapDigest = readBootstrapDigest(settings);
     return result;
 }
 
--- a/tools/bench-routing/Simulation.cpp
+++ b/tools/bench-routing/Simulation.cpp
@@ -1,7 +1,7 @@
 #include "Simulation.h"
 
+#include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Gateway/Dispatcher.h"
-#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <algorithm>
@@ -256,12 +256,12 @@
     constexpr int RetriesPerRequest = 3;
     std::mt19937_64 random(seed);
     std::bernoulli_distribution fails(0.5);
-    RetryAllowance allowance;
+    RetryBudget budget{RetryBudget::Settings()};
     int retries = 0;
     for (int i = 0; i < FirstSends; ++i) {
-        allowance.noteSend();
+        budget.sent();
         int tries = 0;
-        while (fails(random) && tries < RetriesPerRequest && allowance.spend()) {
+        while (fails(random) && tries < RetriesPerRequest && budget.tryRetry()) {
             ++tries;
             ++retries;
         }
