--- a/include/corianderscale/Gateway/DocumentPoller.h
+++ b/include/corianderscale/Gateway/DocumentPoller.h
@@ -25,6 +25,8 @@
 
     /** Reads now and then again every 2 s. */
     void poll();
+    /** Reads once, now. */
+    void readHead();
 
 private:
     void readVersion(const DocumentHead &head);
--- a/include/corianderscale/Gateway/ServiceTiming.h
+++ b/include/corianderscale/Gateway/ServiceTiming.h
@@ -21,6 +21,12 @@
     /** The smoothed run time; zero before the first attempt. */
     Duration mean(const ServiceName &service) const;
 
+    /**
+     * When a request must start to finish by its deadline: the mean and three mean deviations before it, so that few
+     * run in vain, but at most half of the time that is left and at least the mean.
+     */
+    MonotonicTime startDeadline(const ServiceName &service, MonotonicTime now, MonotonicTime deadline) const;
+
     /** How long to wait for an answer before hedging: the mean and four mean deviations, at least 10 ms. */
     Duration hedgeDelay(const ServiceName &service) const;
 
--- a/lib/Gateway/CounterCopies.cpp
+++ b/lib/Gateway/CounterCopies.cpp
@@ -51,7 +51,8 @@
     for (auto &[key, copy] : m_copies) {
         if (!copy.restoring && isDead(copy.record.gateway)) {
             copy.restoring = true;
-            readRow(key, [this, key](Copy &held, const std::optional<TableRows> &rows) { write(key, held, rows); });
+            readRow(key,
+                    [this, name = key](Copy &held, const std::optional<TableRows> &rows) { write(name, held, rows); });
         }
     }
 }
@@ -107,10 +108,10 @@
             continue;
         }
         copy.checkAt = now + CheckInterval;
-        readRow(key, [this, key](const Copy &held, const std::optional<TableRows> &rows) {
+        readRow(key, [this, name = key](const Copy &held, const std::optional<TableRows> &rows) {
             const auto stored = rows && !rows->rows.empty() ? decodeRow(rows->rows.front()) : std::nullopt;
             if (!held.restoring && stored && countsCover(*stored, held.record)) {
-                m_copies.erase(key);
+                m_copies.erase(name);
             }
         });
     }
--- a/lib/Gateway/DocumentPoller.cpp
+++ b/lib/Gateway/DocumentPoller.cpp
@@ -20,6 +20,12 @@
 }
 
 void DocumentPoller::poll()
+{
+    readHead();
+    m_hooks.at(m_hooks.clock.now() + Interval, [this] { poll(); });
+}
+
+void DocumentPoller::readHead()
 {
     m_store.read({documentHeadKey(m_environment)},
                  m_hooks.clock.now() + ReadLimit,
@@ -35,7 +41,6 @@
                          }
                      });
                  });
-    m_hooks.at(m_hooks.clock.now() + Interval, [this] { poll(); });
 }
 
 void DocumentPoller::readVersion(const DocumentHead &head)
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -1,16 +1,18 @@
 #include "corianderscale/Gateway/GatewayDaemon.h"
 
+#include "corianderscale/Coordination/Limits.h"
 #include "corianderscale/Coordination/Membership.h"
+#include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Coordination/StoreClient.h"
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Daemon/ShutdownSignals.h"
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
 #include "corianderscale/Gateway/OperatorView.h"
-#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
+#include <atomic>
 #include <mutex>
 #include <random>
 
@@ -49,7 +51,10 @@
     std::string onPeerMessage(const std::string &message, const InstanceId &from, const std::string &body);
     Membership::Settings memberSettings() const;
     Membership::Hooks memberHooks();
+    std::optional<ErrorBody> admit(const CallerKey &caller);
     void stepMembership();
+    void refreshView();
+    OperatorHooks operatorHooks();
     void refreshVms();
     void takeVms(const VmList &list);
     void refreshMetrics();
@@ -71,8 +76,12 @@
     /** Serialises the peer thread and the gateway's thread at the membership. */
     std::mutex m_membershipMutex;
     Membership m_membership;
-    RetryAllowance m_retries;
+    RetryBudget m_retries{RetryBudget::Settings()};
+    Limits m_limits;
     GatewayCore m_core;
+    std::mutex m_endpointsMutex;
+    Json m_endpoints = Json::array();
+    std::atomic<bool> m_draining = false;
     DocumentPoller m_documents;
     std::shared_ptr<DaemonStatus> m_status;
     GatewayMetrics m_metrics;
@@ -111,18 +120,18 @@
           [this](const auto &address, const auto &message, std::string body, MonotonicTime deadline, auto done) {
               sendPeer(address, message, std::move(body), deadline, std::move(done));
           },
-          RetryGate{[this] { m_retries.noteSend(); },
+          RetryGate{[this] { m_retries.sent(); },
                     [this] {
-                        return m_retries.spend();
+                        return m_retries.tryRetry();
                     }},
-          [](const CallerKey &) { return std::optional<ErrorBody>(); })
+          [this](const CallerKey &caller) { return admit(caller); })
     , m_documents(m_hooks,
                   m_store,
                   m_common.environment,
                   [this](const DocumentHead &head, const std::shared_ptr<const Document> &document) {
-                      m_operators.setDocument(head, document);
                       m_core.setDocument(document);
-                      m_status->ready = true;
+                      m_operators.setDocument(head, document);
+                      m_status->ready = !m_draining;
                   })
     , m_status(std::make_shared<DaemonStatus>())
     , m_metrics(*m_status->metrics)
@@ -214,6 +223,34 @@
     return hooks;
 }
 
+std::optional<ErrorBody> GatewayDaemon::admit(const CallerKey &caller)
+{
+    const OrganisationSpec *organisation = m_core.api().document()->findOrganisation(caller.organisation);
+    if (organisation == nullptr) {
+        return std::nullopt;
+    }
+    const auto rate = [](std::int64_t perSecond, std::int64_t burst) {
+        return RateLimit{static_cast<double>(perSecond), static_cast<double>(burst)};
+    };
+    RateLimit own;
+    for (const CallerSpec &spec : organisation->callers) {
+        if (spec.id == caller.caller) {
+            own = rate(spec.requestsPerSecond, spec.burst);
+        }
+    }
+    const RateLimit whole = rate(organisation->requestsPerSecond, organisation->requestsPerSecond);
+    const auto refusal = m_limits.tryTake(m_clock.now(), caller.organisation, whole, caller.caller, own);
+    if (!refusal) {
+        return std::nullopt;
+    }
+    const char *who = refusal->scope == LimitScope::Caller ? "caller" : "organisation";
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refusal->retryAfter);
+    return ErrorBody{"overloaded",
+                     Outcome::Rejected,
+                     std::string("the ") + who + " sends more requests a second than the document allows; slow down",
+                     std::max<std::int64_t>(1, wait.count())};
+}
+
 void GatewayDaemon::stepMembership()
 {
     {
@@ -222,10 +259,36 @@
     }
     const int instances = m_membership.count(MemberRole::Gateway) + m_membership.count(MemberRole::Scheduler);
     m_store.setLiveInstances(instances);
+    m_limits.setLiveGateways(m_membership.count(MemberRole::Gateway));
     m_core.setMembers(m_membership.members());
     m_loop.at(m_clock.now() + MembershipInterval, [this] { stepMembership(); });
 }
 
+void GatewayDaemon::refreshView()
+{
+    std::vector<Member> others = m_membership.members();
+    std::erase_if(others, [this](const Member &member) { return member.instance == m_common.instance; });
+    m_operators.setMembers(std::move(others));
+    const std::lock_guard<std::mutex> lock(m_endpointsMutex);
+    m_endpoints = m_core.endpoints().toJson(m_clock.now());
+}
+
+OperatorHooks GatewayDaemon::operatorHooks()
+{
+    OperatorHooks hooks = m_operators.hooks();
+    hooks.endpoints = [this] {
+        const std::lock_guard<std::mutex> lock(m_endpointsMutex);
+        return m_endpoints;
+    };
+    hooks.accepted = [this](const std::string &, const AcceptedDocument &) {
+        m_loop.post([this] { m_documents.readHead(); });
+    };
+    hooks.jobChanged = [this](const DataCentreId &dataCentre, const JobId &job) {
+        m_loop.post([this, dataCentre, job] { m_core.peers().tellJob(dataCentre, job); });
+    };
+    return hooks;
+}
+
 void GatewayDaemon::takeVms(const VmList &list)
 {
     std::vector<std::string> contacts;
@@ -254,6 +317,7 @@
 void GatewayDaemon::refreshMetrics()
 {
     m_metrics.update(m_core.numbers());
+    refreshView();
     m_loop.at(m_clock.now() + MetricsInterval, [this] { refreshMetrics(); });
 }
 
@@ -284,7 +348,7 @@
     setLogProcess("coriander-gateway", m_common.instance.value());
     addStatusRoutes(m_server, m_status);
     addCallerRoutes(m_server, m_loop, m_core);
-    registerOperatorRoutes(m_server, m_operators.hooks());
+    registerOperatorRoutes(m_server, operatorHooks());
     m_loop.start();
     TransportError error;
     if (!m_peers.start(error) || !m_server.start(error)) {
@@ -311,6 +375,7 @@
 {
     const MonotonicTime limit = m_clock.now() + std::chrono::milliseconds(m_common.drainMs);
     logEvent(LogLevel::Info, "draining", {{"limit_ms", m_common.drainMs}});
+    m_draining = true;
     m_status->ready = false;
     if (m_settings.announce) {
         announce("leaving");
--- a/tools/bench-routing/Simulation.cpp
+++ b/tools/bench-routing/Simulation.cpp
@@ -1,7 +1,7 @@
 #include "Simulation.h"
 
+#include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Gateway/Dispatcher.h"
-#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <algorithm>
@@ -157,7 +157,7 @@
     slot.service = kind.service;
     slot.urgency = kind.urgency;
     slot.caller = {OrganisationId("o"), CallerId("c" + std::to_string(source))};
-    slot.startDeadline = arrivedAt + m_settings.deadline - gateway.timing.mean(kind.service);
+    slot.startDeadline = gateway.timing.startDeadline(kind.service, arrivedAt, arrivedAt + m_settings.deadline);
     slot.start = [this, source, runTime, arrivedAt, &gateway](SlotLease lease) {
         ++m_sends;
         m_result.sources[source].wait.add(m_clock.now() - arrivedAt);
@@ -256,12 +256,12 @@
     constexpr int RetriesPerRequest = 3;
     std::mt19937_64 random(seed);
     std::bernoulli_distribution fails(0.5);
-    RetryAllowance allowance;
+    RetryBudget budget{RetryBudget::Settings()};
     int retries = 0;
     for (int i = 0; i < FirstSends; ++i) {
-        allowance.noteSend();
+        budget.sent();
         int tries = 0;
-        while (fails(random) && tries < RetriesPerRequest && allowance.spend()) {
+        while (fails(random) && tries < RetriesPerRequest && budget.tryRetry()) {
             ++tries;
             ++retries;
         }
--- a/tools/bench-routing/Simulation.h
+++ b/tools/bench-routing/Simulation.h
@@ -58,5 +58,5 @@
 
 SimulationResult simulate(const SimulationSettings &settings);
 
-/** Retries per first send when half of all attempts fail, bounded by the retry allowance. */
+/** Retries per first send when half of all attempts fail, bounded by the retry budget. */
 double retryStorm(std::uint64_t seed);
--- a/unittests/Gateway/GatewayWorld.h
+++ b/unittests/Gateway/GatewayWorld.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Gateway/GatewayCore.h"
-#include "corianderscale/Gateway/RetryAllowance.h"
 #include "corianderscale/Standin/EndpointModel.h"
 #include "corianderscale/Support/ManualClock.h"
 
@@ -37,7 +37,7 @@
         GatewayWorld *world = nullptr;
         InstanceId id;
         bool alive = true;
-        RetryAllowance retries;
+        RetryBudget retries{RetryBudget::Settings()};
         std::unique_ptr<GatewayCore> core;
         std::int64_t copiesSent = 0;
     };
@@ -111,9 +111,9 @@
             [raw](const auto &address, const auto &message, std::string body, MonotonicTime, auto done) {
                 raw->world->sendPeer(raw, address, message, body, done);
             },
-            RetryGate{[raw] { raw->retries.noteSend(); },
+            RetryGate{[raw] { raw->retries.sent(); },
                       [raw] {
-                          return raw->retries.spend();
+                          return raw->retries.tryRetry();
                       }},
             [](const CallerKey &) { return std::optional<ErrorBody>(); });
         nodes.push_back(std::move(node));
