gateway: ask all processes for the timeline and owners for explanations

Cause: an operator saw the events of one gateway only, and explain showed the job's row without the owner's reason.

Change: the gateway collects timelines over the peer streams and asks the owner named in the table over HTTP; gateways and schedulers answer the peer message timeline.

Conclusion: schedulers are not members yet, so the timeline lacks their events; that is next.

--- a/include/corianderscale/Gateway/OperatorView.h
+++ b/include/corianderscale/Gateway/OperatorView.h
@@ -23,6 +23,9 @@
     /** Takes the other live members of this environment. */
     void setMembers(std::vector<Member> members);
 
+    /** The other live members of this environment. */
+    std::vector<Member> otherMembers() const;
+
     /** Hooks for registerOperatorRoutes(); the view must outlive the server. */
     OperatorHooks hooks();
 
@@ -33,7 +36,7 @@
     std::string m_bootstrapDigest;
     Store &m_store;
     Clock m_clock;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::optional<DocumentInForce> m_document;
     std::vector<Member> m_members;
     /** Since when the store has been seen away; 0 when it is not. */
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -9,6 +9,8 @@
 #include "corianderscale/Gateway/DocumentPoller.h"
 #include "corianderscale/Gateway/GatewayRoutes.h"
 #include "corianderscale/Gateway/OperatorView.h"
+#include "corianderscale/Protocol/Records.h"
+#include "corianderscale/Protocol/TimelineMessages.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/PeerStreams.h"
 
@@ -23,6 +25,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration VmListInterval = std::chrono::seconds(1);
 constexpr Duration VmListLimit = std::chrono::seconds(1);
+/** How long an operator waits for the answers of other processes. */
+constexpr Duration AskLimit = std::chrono::seconds(2);
 constexpr Duration AnnounceInterval = std::chrono::seconds(2);
 constexpr Duration MembershipInterval = std::chrono::milliseconds(100);
 constexpr Duration SignalWait = std::chrono::milliseconds(100);
@@ -55,6 +59,8 @@
     void stepMembership();
     void refreshView();
     OperatorHooks operatorHooks();
+    /** Asks the owner of a data centre over HTTP. Waits at most AskLimit; not for the loop's thread. */
+    std::optional<Json> askOwner(const DataCentreId &dataCentre, const std::string &path);
     void refreshVms();
     void takeVms(const VmList &list);
     void refreshMetrics();
@@ -183,6 +189,9 @@
 
 std::string GatewayDaemon::onPeerMessage(const std::string &message, const InstanceId &from, const std::string &body)
 {
+    if (const auto timeline = answerTimelineMessage(message, m_common.instance, body)) {
+        return *timeline;
+    }
     if (message == GossipPeerMessage) {
         const std::lock_guard<std::mutex> lock(m_membershipMutex);
         return m_membership.handle(m_clock.now(), from, body);
@@ -286,9 +295,46 @@
     hooks.jobChanged = [this](const DataCentreId &dataCentre, const JobId &job) {
         m_loop.post([this, dataCentre, job] { m_core.peers().tellJob(dataCentre, job); });
     };
+    hooks.askOwner = [this](const DataCentreId &dataCentre, const std::string &path) {
+        return askOwner(dataCentre, path);
+    };
+    hooks.timelines = [this](const TimelineFilter &filter) {
+        const auto send = [this](const std::string &address,
+                                 const std::string &message,
+                                 std::string body,
+                                 MonotonicTime deadline,
+                                 std::function<void(std::optional<std::string>)> done) {
+            sendPeer(address, message, std::move(body), deadline, std::move(done));
+        };
+        const MonotonicTime deadline = m_clock.now() + AskLimit;
+        return collectTimelines(m_common.instance, m_operators.otherMembers(), filter, deadline, send);
+    };
     return hooks;
 }
 
+std::optional<Json> GatewayDaemon::askOwner(const DataCentreId &dataCentre, const std::string &path)
+{
+    const MonotonicTime deadline = m_clock.now() + AskLimit;
+    CoordinationError storeError;
+    const auto rows = readAndWait(m_store, {ownerRowKey(dataCentre)}, deadline, storeError);
+    if (!rows || rows->rows.empty()) {
+        return std::nullopt;
+    }
+    ProtocolError error;
+    const auto owner = decodeMessage<OwnerRecord>(std::string_view(rows->rows.front().value), error);
+    if (!owner) {
+        return std::nullopt;
+    }
+    HttpRequest request;
+    request.path = path;
+    TransportError transportError;
+    const auto response = m_client.call(owner->address, request, deadline, transportError);
+    if (!response || response->status != 200) {
+        return std::nullopt;
+    }
+    return parseJson(response->body, MaximumMessageBytes, error);
+}
+
 void GatewayDaemon::takeVms(const VmList &list)
 {
     std::vector<std::string> contacts;
--- a/lib/Gateway/OperatorView.cpp
+++ b/lib/Gateway/OperatorView.cpp
@@ -28,6 +28,12 @@
     m_members = std::move(members);
 }
 
+std::vector<Member> OperatorView::otherMembers() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_members;
+}
+
 OperatorHooks OperatorView::hooks()
 {
     OperatorHooks hooks;
--- a/lib/Scheduler/SchedulerDaemonPeers.cpp
+++ b/lib/Scheduler/SchedulerDaemonPeers.cpp
@@ -1,3 +1,4 @@
+#include "corianderscale/Protocol/TimelineMessages.h"
 #include "corianderscale/Scheduler/SchedulerDaemon.h"
 #include "corianderscale/Scheduler/TakeoverReader.h"
 #include "corianderscale/Support/Log.h"
@@ -69,6 +70,9 @@
 
 std::string SchedulerDaemon::handlePeer(const std::string &message, const std::string &body)
 {
+    if (const auto timeline = answerTimelineMessage(message, m_settings.common.instance, body)) {
+        return *timeline;
+    }
     if (message == SnapshotOfferMessage) {
         ProtocolError error;
         if (const std::optional<Snapshot> snapshot = decodeSnapshot(body, error)) {
