--- a/tools/bench-routing/Simulation.cpp
+++ b/tools/bench-routing/Simulation.cpp
@@ -5,6 +5,7 @@
 #include "corianderscale/Support/ManualClock.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <numeric>
 #include <queue>
