--- a/tools/bench-routing/Simulation.cpp
+++ b/tools/bench-routing/Simulation.cpp
@@ -136,9 +136,7 @@
     const auto meanRun = static_cast<double>(kind.meanRun.count());
     const double perMicrosecond = kind.load * Endpoints * static_cast<double>(SlotsPerEndpoint) / meanRun;
     // Several arrivals of a flood fall into one microsecond; they are submitted one after the other.
-    schedule(m_clock.now()
-                 + Duration(
-                     static_cast<std::int64_t>(std::exponential_distribution<double>(perMicrosecond)(m_random) + 0.5)),
+    schedule(m_clock.now() + Duration(std::llround(std::exponential_distribution<double>(perMicrosecond)(m_random))),
              [this, source] { arrive(source); });
     ++m_result.sources[source].arrived;
     const Duration runTime = exponential(meanRun);
