scheduler: join the membership, and tell the document version in gossip

Cause: schedulers were no members. Gateways therefore sent them no job hints, a job waited for the next scan of the table (15 s by default), the timeline lacked their events, the store's budget was not divided by all daemons, and status showed version 0 for every other instance.

Change: the scheduler runs MembershipService on a duty thread and announces that it leaves.

--- a/include/corianderscale/Gateway/ClaimedRun.h
+++ b/include/corianderscale/Gateway/ClaimedRun.h
@@ -86,6 +86,7 @@
     void armDeadline();
     void writeClaim();
     void onClaim(const PutResult &result);
+    void logProgress(const char *event) const;
     void send();
     void onAttempt(const AttemptResult &result);
     void retry(const std::string &code, const std::string &reason);
--- a/include/corianderscale/Gateway/OperatorView.h
+++ b/include/corianderscale/Gateway/OperatorView.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Daemon/CommonSettings.h"
 #include "corianderscale/Gateway/OperatorRoutes.h"
 
+#include <map>
 #include <mutex>
 
 namespace coriander {
@@ -23,6 +24,11 @@
     /** Takes the other live members of this environment. */
     void setMembers(std::vector<Member> members);
 
+    /** Takes the document version that a peer says is in force there. */
+    void setPeerVersion(const std::string &peerAddress, DocumentVersion version);
+
+    /** The version in force here; 0 before one is known. */
+    DocumentVersion documentVersion() const;
     /** The other live members of this environment. */
     std::vector<Member> otherMembers() const;
 
@@ -39,6 +45,8 @@
     mutable std::mutex m_mutex;
     std::optional<DocumentInForce> m_document;
     std::vector<Member> m_members;
+    /** Versions by address of the peer streams. */
+    std::map<std::string, DocumentVersion> m_peerVersions;
     /** Since when the store has been seen away; 0 when it is not. */
     std::int64_t m_awaySinceUnixMs = 0;
 };
--- a/include/corianderscale/Scheduler/GangRun.h
+++ b/include/corianderscale/Scheduler/GangRun.h
@@ -27,7 +27,7 @@
 };
 
 /** What the scheduler knows of one task of a gang. */
-enum class MemberState {
+enum class GangMemberState {
     /** No order that may have had an effect was sent. */
     Idle,
     /** A reserve was sent; its answer is awaited or was lost. */
@@ -46,7 +46,7 @@
 struct GangMember {
     TaskId task;
     WorkerId worker;
-    MemberState state = MemberState::Idle;
+    GangMemberState state = GangMemberState::Idle;
     /** Whether a request that names the task awaits its answer. */
     bool inFlight = false;
     /** Valid in state Ended. */
--- a/include/corianderscale/Scheduler/SchedulerDaemon.h
+++ b/include/corianderscale/Scheduler/SchedulerDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Coordination/MembershipService.h"
 #include "corianderscale/Coordination/StoreClient.h"
 #include "corianderscale/Daemon/StatusRoutes.h"
 #include "corianderscale/Scheduler/IntakeDuty.h"
@@ -53,7 +54,9 @@
     void shutDown();
     void addRoutes();
     void takeReport(const HttpRequest &request, const HttpRespond &respond);
-    std::string handlePeer(const std::string &message, const std::string &body);
+    std::string handlePeer(const std::string &message, const InstanceId &from, const std::string &body);
+    Membership::Hooks membershipHooks();
+    void membershipStep();
     std::string explain(const JobId &job) const;
     std::string answerSnapshotRequest(const Json &body);
     void readTakeover(Epoch epoch);
@@ -76,6 +79,8 @@
     StoreClient m_store;
     HttpClient m_client;
     HttpServer m_server;
+    /** Ends after the streams, whose handler and replies use it. */
+    MembershipService m_membership;
     PeerStreams m_peers;
 
     std::mutex m_mutex;
@@ -96,6 +101,7 @@
     MonotonicTime m_nextSnapshotRequest{};
     std::unique_ptr<DutyThread> m_takeoverThread;
     std::unique_ptr<DutyThread> m_renewalThread;
+    std::unique_ptr<DutyThread> m_membershipThread;
 };
 
 } // namespace coriander
--- a/lib/Gateway/ClaimedRun.cpp
+++ b/lib/Gateway/ClaimedRun.cpp
@@ -85,6 +85,7 @@
     if (result.outcome == PutOutcome::Committed) {
         m_claimed = true;
         m_version = result.row.version;
+        logProgress("request-claimed");
         send();
         return;
     }
@@ -107,6 +108,18 @@
     finishWith(RequestState::NotRun, "cut-off", "the claim could not be written; ask again later");
 }
 
+void ClaimedRun::logProgress(const char *event) const
+{
+    logEvent(LogLevel::Info,
+             event,
+             {{"key", m_record.key},
+              {"organisation", m_record.organisation},
+              {"caller", m_record.caller},
+              {"attempt", m_record.attempt},
+              {"endpoint", m_record.endpoint},
+              {"state", toText(m_record.state)}});
+}
+
 void ClaimedRun::send()
 {
     const Clock &clock = m_parts.hooks.clock;
@@ -304,6 +317,7 @@
     if (result.outcome == PutOutcome::Committed) {
         RequestSnapshot row{m_record, result.row.version};
         row.record->answer = m_record.answerObject.empty() ? m_record.answer : m_answer;
+        logProgress("request-recorded");
         tell({ClaimedEnd::Recorded, std::move(row), {}});
         end();
         return;
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -229,6 +229,12 @@
                      });
                  });
     };
+    hooks.document = [this] {
+        return m_operators.documentVersion();
+    };
+    hooks.peerDocument = [this](const std::string &peerAddress, DocumentVersion version) {
+        m_operators.setPeerVersion(peerAddress, version);
+    };
     return hooks;
 }
 
--- a/lib/Gateway/JobService.cpp
+++ b/lib/Gateway/JobService.cpp
@@ -1,6 +1,7 @@
 #include "corianderscale/Gateway/JobService.h"
 
 #include "corianderscale/Gateway/GatewayReplies.h"
+#include "corianderscale/Support/Log.h"
 
 #include <algorithm>
 
@@ -260,6 +261,9 @@
 void JobService::accept(const std::shared_ptr<Submission> &submission, const JobRecord &record)
 {
     m_parts.hint(record.dataCentre, record.id);
+    logEvent(LogLevel::Info,
+             "job-accepted",
+             {{"job", record.id}, {"organisation", record.organisation}, {"caller", record.caller}});
     submission->respond(jsonResponse(202, jobToJson(record).dump(-1, ' ', false, Json::error_handler_t::replace)));
 }
 
--- a/lib/Gateway/OperatorView.cpp
+++ b/lib/Gateway/OperatorView.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Gateway/OperatorView.h"
 
+#include <algorithm>
+
 namespace coriander {
 
 namespace {
@@ -26,6 +28,23 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_members = std::move(members);
+    std::erase_if(m_peerVersions, [this](const auto &entry) {
+        return std::none_of(m_members.begin(), m_members.end(), [&entry](const Member &member) {
+            return member.peerAddress == entry.first;
+        });
+    });
+}
+
+void OperatorView::setPeerVersion(const std::string &peerAddress, DocumentVersion version)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_peerVersions[peerAddress] = version;
+}
+
+DocumentVersion OperatorView::documentVersion() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_document ? m_document->head.version : DocumentVersion(0);
 }
 
 std::vector<Member> OperatorView::otherMembers() const
@@ -77,6 +96,8 @@
         }
         InstanceView view;
         view.member = member;
+        const auto version = m_peerVersions.find(member.peerAddress);
+        view.version = version == m_peerVersions.end() ? DocumentVersion(0) : version->second;
         view.cutOff = member.state == MemberState::Suspect;
         view.cutOffSinceUnixMs = view.cutOff ? toUnixMs(m_clock.wallNow()) : 0;
         views.push_back(std::move(view));
--- a/lib/Scheduler/GangRun.cpp
+++ b/lib/Scheduler/GangRun.cpp
@@ -63,10 +63,10 @@
 
 std::optional<WorkerOrder> GangRun::dueOrder(GangMember &member, MonotonicTime now, WallTime wallNow)
 {
-    if (m_phase == Phase::Reserving && member.state == MemberState::Idle) {
+    if (m_phase == Phase::Reserving && member.state == GangMemberState::Idle) {
         return reserveOrder(member, now);
     }
-    if (m_phase == Phase::Starting && member.state == MemberState::Reserved && now < m_startBy) {
+    if (m_phase == Phase::Starting && member.state == GangMemberState::Reserved && now < m_startBy) {
         return startOrder(member, now, wallNow);
     }
     if (m_phase == Phase::Stopping && member.nextSend <= now) {
@@ -77,7 +77,7 @@
 
 WorkerOrder GangRun::reserveOrder(GangMember &member, MonotonicTime now) const
 {
-    member.state = MemberState::Reserving;
+    member.state = GangMemberState::Reserving;
     member.mayHoldUntil = now + m_timing.requestLimit + m_timing.reservationTerm;
     WorkerOrder order;
     order.kind = OrderKind::Reserve;
@@ -91,7 +91,7 @@
 
 WorkerOrder GangRun::startOrder(GangMember &member, MonotonicTime now, WallTime wallNow) const
 {
-    member.state = MemberState::Starting;
+    member.state = GangMemberState::Starting;
     member.mayRunUntil = m_startBy + m_timing.leaseTerm + m_timing.stopGrace;
     WorkerOrder order;
     order.kind = OrderKind::Start;
@@ -113,7 +113,7 @@
     order.task = member.task;
     order.job = m_plan.job;
     member.nextSend = now + m_timing.resendInterval;
-    if (member.state == MemberState::Reserving || member.state == MemberState::Reserved) {
+    if (member.state == GangMemberState::Reserving || member.state == GangMemberState::Reserved) {
         order.kind = OrderKind::Release;
         return order;
     }
@@ -127,37 +127,37 @@
 {
     GangMember &member = m_members.at(index);
     member.inFlight = false;
-    if (member.state == MemberState::Ended || member.state == MemberState::Gone) {
+    if (member.state == GangMemberState::Ended || member.state == GangMemberState::Gone) {
         return;
     }
     if (kind == OrderKind::Reserve) {
         if (result.ok) {
-            member.state = MemberState::Reserved;
+            member.state = GangMemberState::Reserved;
             return;
         }
-        member.state = MemberState::Gone;
+        member.state = GangMemberState::Gone;
         m_refusedBy.push_back(member.worker);
         return;
     }
-    if (kind == OrderKind::Start && member.state == MemberState::Starting) {
+    if (kind == OrderKind::Start && member.state == GangMemberState::Starting) {
         if (result.ok) {
-            member.state = MemberState::Running;
+            member.state = GangMemberState::Running;
             member.mayRunUntil = now + m_timing.leaseTerm + m_timing.stopGrace;
             return;
         }
         // A refused start leaves the reservation in place.
-        member.state = MemberState::Reserved;
+        member.state = GangMemberState::Reserved;
         member.mayHoldUntil = std::max(member.mayHoldUntil, now);
         m_refusedBy.push_back(member.worker);
         return;
     }
     if (kind == OrderKind::Release && result.ok) {
-        member.state = MemberState::Gone;
+        member.state = GangMemberState::Gone;
         return;
     }
     // A member that is stopped was reserved before; what the worker does not know can no longer start.
     if (kind == OrderKind::Stop && !result.ok && result.reason == "unknown-task") {
-        member.state = MemberState::Gone;
+        member.state = GangMemberState::Gone;
     }
 }
 
@@ -166,24 +166,24 @@
     GangMember &member = m_members.at(index);
     member.inFlight = false;
     member.nextSend = now + m_timing.resendInterval;
-    const bool known = member.state == MemberState::Ended || member.state == MemberState::Gone;
+    const bool known = member.state == GangMemberState::Ended || member.state == GangMemberState::Gone;
     if (known || (kind != OrderKind::Reserve && kind != OrderKind::Start)) {
         return;
     }
     m_refusedBy.push_back(member.worker);
     member.nextSend = now;
-    if (notSent && kind == OrderKind::Reserve && member.state == MemberState::Reserving) {
-        member.state = MemberState::Gone;
+    if (notSent && kind == OrderKind::Reserve && member.state == GangMemberState::Reserving) {
+        member.state = GangMemberState::Gone;
     }
-    if (notSent && kind == OrderKind::Start && member.state == MemberState::Starting) {
-        member.state = MemberState::Reserved;
+    if (notSent && kind == OrderKind::Start && member.state == GangMemberState::Starting) {
+        member.state = GangMemberState::Reserved;
     }
 }
 
 void GangRun::observe(std::size_t index, const TaskReport &report)
 {
     GangMember &member = m_members.at(index);
-    if (member.state == MemberState::Ended || member.state == MemberState::Gone) {
+    if (member.state == GangMemberState::Ended || member.state == GangMemberState::Gone) {
         return;
     }
     member.checkpointed = report.checkpointed;
@@ -193,13 +193,13 @@
     case TaskState::Running:
     case TaskState::Stopping:
         if (!member.inFlight) {
-            member.state = MemberState::Running;
+            member.state = GangMemberState::Running;
         }
         return;
     case TaskState::Succeeded:
     case TaskState::Failed:
     case TaskState::Stopped:
-        member.state = MemberState::Ended;
+        member.state = GangMemberState::Ended;
         member.endedAs = report.state;
         if (report.state == TaskState::Failed && m_failedOn.empty()) {
             m_failedOn = member.worker;
@@ -211,17 +211,18 @@
 void GangRun::absent(std::size_t index)
 {
     GangMember &member = m_members.at(index);
-    if (member.inFlight || isOver(member) || member.state == MemberState::Idle) {
+    if (member.inFlight || isOver(member) || member.state == GangMemberState::Idle) {
         return;
     }
-    member.state = MemberState::Gone;
+    member.state = GangMemberState::Gone;
 }
 
 void GangRun::workerRestarted(const WorkerId &worker)
 {
     for (GangMember &member : m_members) {
-        if (member.worker == worker && member.state != MemberState::Ended && member.state != MemberState::Idle) {
-            member.state = MemberState::Gone;
+        if (member.worker == worker && member.state != GangMemberState::Ended
+            && member.state != GangMemberState::Idle) {
+            member.state = GangMemberState::Gone;
         }
     }
 }
@@ -229,7 +230,7 @@
 void GangRun::workerLost(const WorkerId &worker, MonotonicTime now)
 {
     const bool affected = std::any_of(m_members.begin(), m_members.end(), [&](const GangMember &member) {
-        return member.worker == worker && member.state != MemberState::Ended;
+        return member.worker == worker && member.state != GangMemberState::Ended;
     });
     if (!affected || m_phase == Phase::Stopping || m_phase == Phase::Over) {
         return;
@@ -266,7 +267,7 @@
 void GangRun::renewalSent(const WorkerId &worker, MonotonicTime now)
 {
     for (GangMember &member : m_members) {
-        if (member.worker == worker && member.state == MemberState::Running) {
+        if (member.worker == worker && member.state == GangMemberState::Running) {
             member.mayRunUntil = now + m_timing.requestLimit + m_timing.leaseTerm + m_timing.stopGrace;
         }
     }
@@ -274,8 +275,8 @@
 
 bool GangRun::isOver(const GangMember &member) const
 {
-    return member.state == MemberState::Ended || member.state == MemberState::Gone
-        || (member.state == MemberState::Idle && m_phase >= Phase::Stopping);
+    return member.state == GangMemberState::Ended || member.state == GangMemberState::Gone
+        || (member.state == GangMemberState::Idle && m_phase >= Phase::Stopping);
 }
 
 bool GangRun::allOver() const
@@ -286,17 +287,17 @@
 bool GangRun::allSucceeded() const
 {
     return std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Ended && member.endedAs == TaskState::Succeeded;
+        return member.state == GangMemberState::Ended && member.endedAs == TaskState::Succeeded;
     });
 }
 
 void GangRun::expireMembers(MonotonicTime now)
 {
     for (GangMember &member : m_members) {
-        const bool held = member.state == MemberState::Reserving || member.state == MemberState::Reserved;
-        const bool runs = member.state == MemberState::Starting || member.state == MemberState::Running;
+        const bool held = member.state == GangMemberState::Reserving || member.state == GangMemberState::Reserved;
+        const bool runs = member.state == GangMemberState::Starting || member.state == GangMemberState::Running;
         if ((held && member.mayHoldUntil <= now) || (runs && member.mayRunUntil <= now)) {
-            member.state = MemberState::Gone;
+            member.state = GangMemberState::Gone;
             member.inFlight = false;
         }
     }
@@ -331,7 +332,7 @@
         return;
     }
     const bool reserved = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Reserved;
+        return member.state == GangMemberState::Reserved;
     });
     if (reserved) {
         m_phase = Phase::Starting;
@@ -340,7 +341,7 @@
     }
     // A reservation that was answered can lapse at its worker while another worker has not answered.
     for (const GangMember &member : m_members) {
-        if (member.state == MemberState::Gone) {
+        if (member.state == GangMemberState::Gone) {
             m_refusedBy.push_back(member.worker);
         }
     }
@@ -354,7 +355,7 @@
     bool waiting = false;
     for (const GangMember &member : m_members) {
         waiting = waiting || member.inFlight;
-        if (member.state == MemberState::Gone && m_refusedBy.empty()) {
+        if (member.state == GangMemberState::Gone && m_refusedBy.empty()) {
             m_refusedBy.push_back(member.worker);
         }
     }
@@ -363,7 +364,7 @@
         return;
     }
     const bool started = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Running || member.state == MemberState::Ended;
+        return member.state == GangMemberState::Running || member.state == GangMemberState::Ended;
     });
     if (started && !waiting) {
         m_phase = Phase::Running;
@@ -372,7 +373,7 @@
     }
     if (now >= m_startBy && !waiting) {
         for (const GangMember &member : m_members) {
-            if (member.state == MemberState::Reserved) {
+            if (member.state == GangMemberState::Reserved) {
                 m_refusedBy.push_back(member.worker);
             }
         }
@@ -392,8 +393,8 @@
         return;
     }
     const bool lost = std::any_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Gone
-            || (member.state == MemberState::Ended && member.endedAs == TaskState::Stopped);
+        return member.state == GangMemberState::Gone
+            || (member.state == GangMemberState::Ended && member.endedAs == TaskState::Stopped);
     });
     if (lost) {
         beginStopping(Cause::Stopped, false, now + m_timing.stopGrace);
@@ -412,7 +413,8 @@
         return GangHasEnded{false, m_failedOn};
     }
     const bool kept = std::all_of(m_members.begin(), m_members.end(), [](const GangMember &member) {
-        return member.state == MemberState::Ended && (member.checkpointed || member.endedAs == TaskState::Succeeded);
+        return member.state == GangMemberState::Ended
+            && (member.checkpointed || member.endedAs == TaskState::Succeeded);
     });
     return GangHasStopped{kept};
 }
@@ -430,7 +432,7 @@
         if (isOver(member)) {
             continue;
         }
-        const bool held = member.state == MemberState::Reserving || member.state == MemberState::Reserved;
+        const bool held = member.state == GangMemberState::Reserving || member.state == GangMemberState::Reserved;
         due = std::min(due, held ? member.mayHoldUntil : member.mayRunUntil);
         if (!member.inFlight) {
             due = std::min(due, member.nextSend);
--- a/lib/Scheduler/SchedulerCoreDecisions.cpp
+++ b/lib/Scheduler/SchedulerCoreDecisions.cpp
@@ -134,7 +134,7 @@
     }
     gang->checkpointing.clear();
     for (const GangMember &member : gang->run.members()) {
-        if (member.state == MemberState::Running) {
+        if (member.state == GangMemberState::Running) {
             gang->checkpointing[member.task] = -1;
             WorkerEntry &worker = workerOf(member.worker);
             worker.checkpoints.insert(member.task);
--- a/lib/Scheduler/SchedulerCoreGangs.cpp
+++ b/lib/Scheduler/SchedulerCoreGangs.cpp
@@ -154,7 +154,7 @@
     UsageTotals &totals = gang.run.plan().guaranteed ? entry.record.guaranteedUsage : entry.record.borrowedUsage;
     for (const GangMember &member : gang.run.members()) {
         totals += m_ledger.counted(member.task);
-        if (member.state != MemberState::Ended) {
+        if (member.state != GangMemberState::Ended) {
             m_ledger.keep(member.task, at.wallNow);
         }
         entry.after[member.worker] = m_ledger.revision();
@@ -197,7 +197,7 @@
 {
     for (const GangMember &member : gang.run.members()) {
         WorkerEntry &worker = workerOf(member.worker);
-        if (member.state == MemberState::Ended) {
+        if (member.state == GangMemberState::Ended) {
             worker.releases.insert(member.task);
             worker.attention = true;
         } else if (!worker.lost) {
--- a/lib/Scheduler/SchedulerCoreTakeover.cpp
+++ b/lib/Scheduler/SchedulerCoreTakeover.cpp
@@ -108,7 +108,7 @@
         const WorkerEntry &worker = workerOf(placement.worker);
         const TaskReport *task = worker.answer ? answeredTask(worker, placement.task) : nullptr;
         const bool stops = task != nullptr && (task->state == TaskState::Stopping || task->state == TaskState::Stopped);
-        whole = whole && member.state == MemberState::Running && !stops && !worker.address.empty();
+        whole = whole && member.state == GangMemberState::Running && !stops && !worker.address.empty();
         m_ledger.open(placement.task,
                       placement.worker,
                       worker.info.incarnation,
@@ -151,18 +151,18 @@
     member.worker = placement.worker;
     // The start of an earlier owner may take effect until its startBy, on a worker that has not seen this epoch.
     member.mayRunUntil = at.now + timing.startWindow + timing.requestLimit + timing.leaseTerm + timing.stopGrace;
-    member.state = MemberState::Running;
+    member.state = GangMemberState::Running;
     const auto worker = m_workers.find(placement.worker);
     if (worker == m_workers.end() || !worker->second.answer) {
         return member;
     }
     const TaskReport *task = answeredTask(worker->second, placement.task);
     if (task == nullptr) {
-        member.state = MemberState::Gone;
+        member.state = GangMemberState::Gone;
         return member;
     }
     if (task->state == TaskState::Reserved) {
-        member.state = MemberState::Reserved;
+        member.state = GangMemberState::Reserved;
         member.mayHoldUntil = at.now + timing.reservationTerm;
         return member;
     }
--- a/lib/Scheduler/SchedulerCoreWorkers.cpp
+++ b/lib/Scheduler/SchedulerCoreWorkers.cpp
@@ -232,7 +232,7 @@
     for (const GangKey &key : worker.gangs) {
         Gang &gang = m_gangs.at(key);
         for (const GangMember &member : gang.run.members()) {
-            if (member.worker == worker.info.id && member.state == MemberState::Running) {
+            if (member.worker == worker.info.id && member.state == GangMemberState::Running) {
                 tasks.push_back(member.task);
             }
         }
@@ -258,7 +258,7 @@
     return run.renewable()
         && std::none_of(run.members().begin(), run.members().end(), [this](const GangMember &member) {
                const auto worker = m_workers.find(member.worker);
-               return member.state == MemberState::Running && worker != m_workers.end() && worker->second.silent;
+               return member.state == GangMemberState::Running && worker != m_workers.end() && worker->second.silent;
            });
 }
 
--- a/lib/Scheduler/SchedulerDaemon.cpp
+++ b/lib/Scheduler/SchedulerDaemon.cpp
@@ -16,6 +16,7 @@
 constexpr Duration StepWait = std::chrono::milliseconds(50);
 /** Reports of a worker with hundreds of tasks fit. */
 constexpr std::size_t MaximumReportBytes = 4 * 1024 * 1024;
+constexpr Duration MembershipInterval = std::chrono::milliseconds(200);
 constexpr Duration StopLimit = std::chrono::seconds(2);
 
 StoreClient::Settings storeSettings(const SchedulerSettings &settings)
@@ -36,6 +37,18 @@
     return peers;
 }
 
+MembershipService::Settings membershipSettings(const SchedulerSettings &settings)
+{
+    MembershipService::Settings membership;
+    Member &self = membership.membership.self;
+    self.instance = settings.common.instance;
+    self.role = MemberRole::Scheduler;
+    self.dataCentre = settings.common.dataCentre;
+    self.address = settings.common.listen;
+    self.peerAddress = settings.common.peerListen;
+    return membership;
+}
+
 } // namespace
 
 SchedulerDaemon::SchedulerDaemon(SchedulerSettings settings, Clock clock)
@@ -46,10 +59,20 @@
     , m_store(storeSettings(m_settings), m_clock)
     , m_client(m_clock)
     , m_server(m_settings.common.listen, {MaximumReportBytes})
+    , m_membership(
+          membershipSettings(m_settings),
+          m_clock,
+          m_store,
+          [this](const std::string &address,
+                 const std::string &message,
+                 std::string body,
+                 MonotonicTime deadline,
+                 PeerReply done) { m_peers.send(address, message, std::move(body), deadline, std::move(done)); },
+          membershipHooks())
     , m_peers(peerSettings(m_settings),
               m_clock,
-              [this](const std::string &message, const InstanceId &, const std::string &body) {
-                  return handlePeer(message, body);
+              [this](const std::string &message, const InstanceId &from, const std::string &body) {
+                  return handlePeer(message, from, body);
               })
     , m_renewer(m_settings.common.instance, m_settings.timing)
     , m_takeovers(TakeoverCapacity)
@@ -82,6 +105,16 @@
 
 SchedulerDaemon::~SchedulerDaemon() = default;
 
+Membership::Hooks SchedulerDaemon::membershipHooks()
+{
+    Membership::Hooks hooks;
+    hooks.document = [this] {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_documentVersion;
+    };
+    return hooks;
+}
+
 bool SchedulerDaemon::owns() const
 {
     return m_ownership->ownedEpoch().has_value();
@@ -202,6 +235,7 @@
     m_ownership->start();
     m_takeoverThread = std::make_unique<DutyThread>("takeover", [this] { takeoverStep(); });
     m_renewalThread = std::make_unique<DutyThread>("renewal", [this] { renewalStep(); });
+    m_membershipThread = std::make_unique<DutyThread>("membership", [this] { membershipStep(); });
 }
 
 int SchedulerDaemon::run()
@@ -242,6 +276,8 @@
     waitFor("unsettled gangs or rows", [this] { return m_placement->counts().settled.load(); });
     m_ownership->release();
     waitFor("ownership", [this] { return m_ownership->released(); });
+    m_membershipThread.reset();
+    m_membership.leave();
     m_takeoverThread.reset();
     m_renewalThread.reset();
     m_intake->stop();
@@ -253,6 +289,14 @@
     logEvent(LogLevel::Info, "stopped");
 }
 
+void SchedulerDaemon::membershipStep()
+{
+    std::this_thread::sleep_for(MembershipInterval);
+    m_membership.step();
+    // The site's budget at the store is shared by all live daemons.
+    m_store.setLiveInstances(m_membership.count(MemberRole::Gateway) + m_membership.count(MemberRole::Scheduler));
+}
+
 void SchedulerDaemon::takeoverStep()
 {
     if (const std::optional<Epoch> epoch = m_takeovers.pop(StepWait)) {
--- a/lib/Scheduler/SchedulerDaemonPeers.cpp
+++ b/lib/Scheduler/SchedulerDaemonPeers.cpp
@@ -68,8 +68,11 @@
     respond(jsonResponse(200, "{}"));
 }
 
-std::string SchedulerDaemon::handlePeer(const std::string &message, const std::string &body)
+std::string SchedulerDaemon::handlePeer(const std::string &message, const InstanceId &from, const std::string &body)
 {
+    if (message == GossipPeerMessage) {
+        return m_membership.handle(from, body);
+    }
     if (const auto timeline = answerTimelineMessage(message, m_settings.common.instance, body)) {
         return *timeline;
     }
