gateway, scheduler: end the peer streams before what their handlers use

Cause: the streams were destroyed after the lock, the membership and the operators' view that their handler reads, so a message that came during a shutdown could reach destroyed objects. Found by reading, not by a crash.

Change: the streams are the last member of both daemons.

Conclusion: the order is part of the class and stated there.

--- a/include/corianderscale/Scheduler/SchedulerDaemon.h
+++ b/include/corianderscale/Scheduler/SchedulerDaemon.h
@@ -79,9 +79,6 @@
     StoreClient m_store;
     HttpClient m_client;
     HttpServer m_server;
-    /** Ends after the streams, whose handler and replies use it. */
-    MembershipService m_membership;
-    PeerStreams m_peers;
 
     std::mutex m_mutex;
     std::vector<decision::OrganisationPolicy> m_organisations;
@@ -102,6 +99,9 @@
     std::unique_ptr<DutyThread> m_takeoverThread;
     std::unique_ptr<DutyThread> m_renewalThread;
     std::unique_ptr<DutyThread> m_membershipThread;
+    MembershipService m_membership;
+    /** Last, so that the streams end before everything that their handler and replies use. */
+    PeerStreams m_peers;
 };
 
 } // namespace coriander
--- a/lib/Gateway/GatewayDaemon.cpp
+++ b/lib/Gateway/GatewayDaemon.cpp
@@ -78,7 +78,6 @@
     StoreClient m_store;
     GatewayLoop m_loop;
     GatewayHooks m_hooks;
-    PeerStreams m_peers;
     /** Serialises the peer thread and the gateway's thread at the membership. */
     std::mutex m_membershipMutex;
     Membership m_membership;
@@ -93,6 +92,8 @@
     GatewayMetrics m_metrics;
     OperatorView m_operators;
     HttpServer m_server;
+    /** Last, so that the streams end before everything that their handler and replies use. */
+    PeerStreams m_peers;
 };
 
 StoreClient::Settings storeSettings(const CommonSettings &common)
@@ -113,11 +114,6 @@
     , m_store(storeSettings(m_common), m_clock)
     , m_loop(m_clock, TickInterval, [this] { m_core.tick(); })
     , m_hooks(makeHooks())
-    , m_peers({m_common.instance, m_common.peerListen, m_common.peerKey},
-              m_clock,
-              [this](const std::string &message, const InstanceId &from, const std::string &body) {
-                  return onPeerMessage(message, from, body);
-              })
     , m_membership(memberSettings(), memberHooks(), systemRandomUnit())
     , m_core(
           m_settings.gateway,
@@ -143,6 +139,11 @@
     , m_metrics(*m_status->metrics)
     , m_operators(m_common, m_settings.bootstrapDigest, m_store, m_clock)
     , m_server(m_common.listen, HttpServerLimits())
+    , m_peers({m_common.instance, m_common.peerListen, m_common.peerKey},
+              m_clock,
+              [this](const std::string &message, const InstanceId &from, const std::string &body) {
+                  return onPeerMessage(message, from, body);
+              })
 {
 }
 
--- a/lib/Scheduler/SchedulerDaemon.cpp
+++ b/lib/Scheduler/SchedulerDaemon.cpp
@@ -59,6 +59,8 @@
     , m_store(storeSettings(m_settings), m_clock)
     , m_client(m_clock)
     , m_server(m_settings.common.listen, {MaximumReportBytes})
+    , m_renewer(m_settings.common.instance, m_settings.timing)
+    , m_takeovers(TakeoverCapacity)
     , m_membership(
           membershipSettings(m_settings),
           m_clock,
@@ -74,8 +76,6 @@
               [this](const std::string &message, const InstanceId &from, const std::string &body) {
                   return handlePeer(message, from, body);
               })
-    , m_renewer(m_settings.common.instance, m_settings.timing)
-    , m_takeovers(TakeoverCapacity)
 {
     m_recorder = std::make_unique<Recorder>(
         m_store, m_clock, RecorderOutputs{[this](const StoreWrite &write, WriteOutcome outcome, RowVersion version) {
