--- a/unittests/Gateway/ClaimsTest.cpp
+++ b/unittests/Gateway/ClaimsTest.cpp
@@ -19,49 +19,49 @@
 protected:
     Claims()
     {
-        world.addEndpoint("e1");
-        one = &world.addGateway("gateway-1");
-        two = &world.addGateway("gateway-2");
-        world.advance(std::chrono::milliseconds(100));
+        m_world.addEndpoint("e1");
+        m_one = &m_world.addGateway("gateway-1");
+        m_two = &m_world.addGateway("gateway-2");
+        m_world.advance(std::chrono::milliseconds(100));
     }
 
     /** Makes the store fail the n-th commit from now on. */
     void failCommit(int n, StoreFault fault)
     {
-        world.store.setFaults([this, n, fault](const std::string &operation, const OperationId &) {
-            return operation == "commit" && ++commits == n ? fault : StoreFault::None;
+        m_world.store.setFaults([this, n, fault](const std::string &operation, const OperationId &) {
+            return operation == "commit" && ++m_commits == n ? fault : StoreFault::None;
         });
     }
 
-    GatewayWorld world;
-    GatewayWorld::Node *one = nullptr;
-    GatewayWorld::Node *two = nullptr;
-    int commits = 0;
+    GatewayWorld m_world;
+    GatewayWorld::Node *m_one = nullptr;
+    GatewayWorld::Node *m_two = nullptr;
+    int m_commits = 0;
 };
 
 // Guards against two gateways that both run one key.
 TEST_F(Claims, OneOfTwoGatewaysRunsAKey)
 {
-    const auto first = world.post(*one, "confirm", "k", "body");
-    const auto second = world.post(*two, "confirm", "k", "body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 1);
+    const auto first = m_world.post(*m_one, "confirm", "k", "body");
+    const auto second = m_world.post(*m_two, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 1);
     EXPECT_EQ(first->times, 1);
     EXPECT_EQ(second->times, 1);
-    const auto asked = world.get(*two, "k");
-    world.drainTasks();
+    const auto asked = m_world.get(*m_two, "k");
+    m_world.drainTasks();
     EXPECT_EQ(asked->response.body, expectedAnswer("confirm", "body"));
 }
 
 // Guards against an answer from the record that differs from the first, and against a second run of a repeated key.
 TEST_F(Claims, ARepeatedKeyIsAnsweredFromTheRecord)
 {
-    const auto first = world.post(*one, "confirm", "k", "body");
-    world.advance(LongWait);
-    const auto again = world.post(*two, "confirm", "k", "body");
-    const auto other = world.post(*two, "confirm", "k", "another body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 1);
+    const auto first = m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    const auto again = m_world.post(*m_two, "confirm", "k", "body");
+    const auto other = m_world.post(*m_two, "confirm", "k", "another body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 1);
     EXPECT_EQ(again->response.body, first->response.body);
     EXPECT_EQ(again->response.header(AttemptIdHeader), first->response.header(AttemptIdHeader));
     EXPECT_EQ(other->error.code, "invalid");
@@ -70,10 +70,10 @@
 // Guards against callers that read each other's requests.
 TEST_F(Claims, AnotherCallerDoesNotFindTheKey)
 {
-    world.post(*one, "confirm", "k", "body");
-    world.advance(LongWait);
-    const auto asked = world.get(*one, "k", "clerk-token");
-    world.drainTasks();
+    m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    const auto asked = m_world.get(*m_one, "k", "clerk-token");
+    m_world.drainTasks();
     EXPECT_EQ(asked->error.code, "not-found");
 }
 
@@ -81,23 +81,23 @@
 TEST_F(Claims, ALostClaimIsReadBackAndRunsOnce)
 {
     failCommit(1, StoreFault::AnswerLost);
-    const auto told = world.post(*one, "confirm", "k", "body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 1);
+    const auto told = m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 1);
     EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
 }
 
 TEST_F(Claims, AClaimThatWasNotWrittenIsTruthfullyNotRun)
 {
     failCommit(1, StoreFault::RequestLost);
-    const auto told = world.post(*one, "confirm", "k", "body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 0);
+    const auto told = m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 0);
     EXPECT_EQ(told->error.outcome, Outcome::NotRun);
     // The record says not-run, so the same request may be tried anew.
-    const auto again = world.post(*one, "confirm", "k", "body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 1);
+    const auto again = m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 1);
     EXPECT_EQ(again->response.body, expectedAnswer("confirm", "body"));
 }
 
@@ -105,24 +105,24 @@
 TEST_F(Claims, AnAnswerWhoseRecordIsLostIsStillGiven)
 {
     for (const StoreFault fault : {StoreFault::Away, StoreFault::RequestLost, StoreFault::AnswerLost}) {
-        commits = 0;
+        m_commits = 0;
         failCommit(2, fault);
         const std::string key = "k" + std::to_string(static_cast<int>(fault));
-        const auto told = world.post(*one, "confirm", key, "body");
-        world.advance(LongWait);
+        const auto told = m_world.post(*m_one, "confirm", key, "body");
+        m_world.advance(LongWait);
         EXPECT_EQ(told->times, 1);
         EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
     }
-    EXPECT_EQ(world.starts, 3);
+    EXPECT_EQ(m_world.starts, 3);
 }
 
 // Guards against new non-idempotent work, and against silence, while the store is away.
 TEST_F(Claims, StoreAwayRefusesAsNotRun)
 {
-    world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
-    const auto refused = world.post(*one, "confirm", "k", "body");
-    const auto served = world.post(*one, "find", "", "body");
-    world.advance(LongWait);
+    m_world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
+    const auto refused = m_world.post(*m_one, "confirm", "k", "body");
+    const auto served = m_world.post(*m_one, "find", "", "body");
+    m_world.advance(LongWait);
     EXPECT_EQ(refused->error.code, "cut-off");
     EXPECT_EQ(refused->error.outcome, Outcome::NotRun);
     EXPECT_EQ(served->response.status, 200);
@@ -134,12 +134,12 @@
     int number = 0;
     for (const EndpointFault fault :
          {EndpointFault::AnswerLost, EndpointFault::Truncated, EndpointFault::WrongAttempt}) {
-        world.endpointFaults = [fault](const HttpRequest &request) {
+        m_world.endpointFaults = [fault](const HttpRequest &request) {
             return request.path.find("/v1/run/") == 0 ? fault : EndpointFault::None;
         };
-        const auto told = world.post(*one, "confirm", "k" + std::to_string(++number), "body");
-        world.advance(LongWait);
-        EXPECT_EQ(world.starts, number);
+        const auto told = m_world.post(*m_one, "confirm", "k" + std::to_string(++number), "body");
+        m_world.advance(LongWait);
+        EXPECT_EQ(m_world.starts, number);
         EXPECT_EQ(told->response.body, expectedAnswer("confirm", "body"));
     }
 }
@@ -147,52 +147,52 @@
 // Guards against a `not-run` for a message that is still under way when the endpoint restarts and forgets its fence.
 TEST_F(Claims, ALostMessageIsNotRunOnlyAfterItsStartLimit)
 {
-    world.endpointFaults = [](const HttpRequest &request) {
+    m_world.endpointFaults = [](const HttpRequest &request) {
         return request.path.find("/v1/run/") == 0 ? EndpointFault::RequestLost : EndpointFault::None;
     };
-    const auto told = world.post(*one, "confirm", "k", "body");
-    world.advance(std::chrono::milliseconds(1900));
+    const auto told = m_world.post(*m_one, "confirm", "k", "body");
+    m_world.advance(std::chrono::milliseconds(1900));
     EXPECT_EQ(told->times, 0);
-    world.advance(LongWait);
+    m_world.advance(LongWait);
     EXPECT_EQ(told->error.outcome, Outcome::NotRun);
-    EXPECT_EQ(world.starts, 0);
+    EXPECT_EQ(m_world.starts, 0);
 }
 
 // Guards against a second run of a request that an endpoint has lost by restarting.
 TEST_F(Claims, ARestartedEndpointMakesTheOutcomeUnknownForGood)
 {
-    const auto told = world.post(*one, "confirm", "k", "body");
-    while (world.starts == 0) {
-        ASSERT_TRUE(world.runOne(0));
+    const auto told = m_world.post(*m_one, "confirm", "k", "body");
+    while (m_world.starts == 0) {
+        ASSERT_TRUE(m_world.runOne(0));
     }
-    world.restartEndpoint("e1");
-    world.advance(LongWait);
+    m_world.restartEndpoint("e1");
+    m_world.advance(LongWait);
     EXPECT_EQ(told->error.outcome, Outcome::Unknown);
-    const auto again = world.post(*two, "confirm", "k", "body");
-    world.advance(LongWait);
+    const auto again = m_world.post(*m_two, "confirm", "k", "body");
+    m_world.advance(LongWait);
     EXPECT_EQ(again->error.outcome, Outcome::Unknown);
-    EXPECT_EQ(world.starts, 1);
+    EXPECT_EQ(m_world.starts, 1);
 }
 
 // Guards against slot-full refusals that are reported or sent on without a new attempt id.
 TEST_F(Claims, ASlotFullRefusalIsRetriedAtAnotherEndpoint)
 {
-    world.addEndpoint("e2");
-    one->core->setVms(world.vms);
-    two->core->setVms(world.vms);
-    world.advance(std::chrono::milliseconds(100));
+    m_world.addEndpoint("e2");
+    m_one->core->setVms(m_world.vms);
+    m_two->core->setVms(m_world.vms);
+    m_world.advance(std::chrono::milliseconds(100));
     const auto filler = [this](const std::string &id) {
         for (int i = 0; i < 4; ++i) {
-            const Clock now = world.clock.clock();
-            world.endpoints.at(id).model->run(
+            const Clock now = m_world.clock.clock();
+            m_world.endpoints.at(id).model->run(
                 {AttemptId("filler" + std::to_string(i)), ServiceName("find"), 0, ""}, now.now(), now.wallNow());
         }
     };
     filler("e1");
-    const auto first = world.post(*one, "confirm", "k1", "body");
-    const auto second = world.post(*one, "confirm", "k2", "body");
-    world.advance(LongWait);
-    EXPECT_EQ(world.starts, 2);
+    const auto first = m_world.post(*m_one, "confirm", "k1", "body");
+    const auto second = m_world.post(*m_one, "confirm", "k2", "body");
+    m_world.advance(LongWait);
+    EXPECT_EQ(m_world.starts, 2);
     EXPECT_EQ(first->response.status, 200);
     EXPECT_EQ(second->response.status, 200);
 }
--- a/unittests/Gateway/CountersTest.cpp
+++ b/unittests/Gateway/CountersTest.cpp
@@ -32,80 +32,80 @@
 protected:
     Counters()
     {
-        world.addEndpoint("e1", 8);
-        one = &world.addGateway("gateway-1");
-        two = &world.addGateway("gateway-2");
-        world.addGateway("gateway-3");
-        world.advance(std::chrono::milliseconds(100));
+        m_world.addEndpoint("e1", 8);
+        m_one = &m_world.addGateway("gateway-1");
+        m_two = &m_world.addGateway("gateway-2");
+        m_world.addGateway("gateway-3");
+        m_world.advance(std::chrono::milliseconds(100));
     }
 
-    GatewayWorld world;
-    GatewayWorld::Node *one = nullptr;
-    GatewayWorld::Node *two = nullptr;
+    GatewayWorld m_world;
+    GatewayWorld::Node *m_one = nullptr;
+    GatewayWorld::Node *m_two = nullptr;
 };
 
 // Guards against answers that are released before their count is durable.
 TEST_F(Counters, AnAnswerIsInTheTableWhenItIsReleased)
 {
-    const auto told = world.post(*one, "find", "", "body");
+    const auto told = m_world.post(*m_one, "find", "", "body");
     while (told->times == 0) {
-        world.advance(std::chrono::milliseconds(10));
+        m_world.advance(std::chrono::milliseconds(10));
     }
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+    EXPECT_EQ(tableTotals(m_world, closed).finished, 1);
 }
 
 // Guards against answers that wait for a store that is away, and against counts that die with their gateway.
 TEST_F(Counters, CopiesOfADeadGatewayAreWrittenBack)
 {
-    world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
-    const auto told = world.post(*one, "find", "", "body");
-    world.advance(std::chrono::milliseconds(500));
+    m_world.store.setFaults([](const auto &, const auto &) { return StoreFault::Away; });
+    const auto told = m_world.post(*m_one, "find", "", "body");
+    m_world.advance(std::chrono::milliseconds(500));
     EXPECT_EQ(told->response.status, 200);
-    EXPECT_GE(one->copiesSent, 2);
-    world.kill(*one);
-    world.shareMembers();
-    world.store.setFaults({});
-    world.advance(std::chrono::seconds(3));
+    EXPECT_GE(m_one->copiesSent, 2);
+    m_world.kill(*m_one);
+    m_world.shareMembers();
+    m_world.store.setFaults({});
+    m_world.advance(std::chrono::seconds(3));
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+    EXPECT_EQ(tableTotals(m_world, closed).finished, 1);
 }
 
 // Guards against counts that are lost or doubled when the answer of a commit is lost.
 TEST_F(Counters, ALostCommitAnswerCountsOnce)
 {
     int commits = 0;
-    world.store.setFaults([&commits](const std::string &operation, const OperationId &) {
+    m_world.store.setFaults([&commits](const std::string &operation, const OperationId &) {
         return operation == "commit" && ++commits == 1 ? StoreFault::AnswerLost : StoreFault::None;
     });
-    const auto told = world.post(*one, "find", "", "body");
-    world.advance(std::chrono::seconds(3));
+    const auto told = m_world.post(*m_one, "find", "", "body");
+    m_world.advance(std::chrono::seconds(3));
     EXPECT_EQ(told->times, 1);
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+    EXPECT_EQ(tableTotals(m_world, closed).finished, 1);
 }
 
 // Guards against a day's row that stays open after midnight of the site, and counts in the wrong day.
 TEST_F(Counters, TheRowOfAPastDayIsClosed)
 {
-    world.post(*one, "find", "", "body");
-    world.advance(std::chrono::seconds(1));
-    world.clock.jumpWall(std::chrono::hours(24));
-    world.advance(std::chrono::seconds(3));
+    m_world.post(*m_one, "find", "", "body");
+    m_world.advance(std::chrono::seconds(1));
+    m_world.clock.jumpWall(std::chrono::hours(24));
+    m_world.advance(std::chrono::seconds(3));
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).finished, 1);
+    EXPECT_EQ(tableTotals(m_world, closed).finished, 1);
     EXPECT_TRUE(closed);
 }
 
 // Guards against refusals that are not counted.
 TEST_F(Counters, RefusalsAreCounted)
 {
-    world.endpoints.at("e1").up = false;
-    const auto told = world.post(*one, "find", "", "body");
-    world.advance(std::chrono::seconds(10));
+    m_world.endpoints.at("e1").up = false;
+    const auto told = m_world.post(*m_one, "find", "", "body");
+    m_world.advance(std::chrono::seconds(10));
     EXPECT_EQ(told->error.outcome, Outcome::NotRun);
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).refusedNotRun, 1);
+    EXPECT_EQ(tableTotals(m_world, closed).refusedNotRun, 1);
 }
 
 // Guards P7 and the totals: a drain answers everything in progress and leaves closed rows.
@@ -113,23 +113,23 @@
 {
     std::vector<std::shared_ptr<GatewayWorld::Told>> told;
     for (int i = 0; i < 6; ++i) {
-        told.push_back(world.post(*one, i % 2 == 0 ? "find" : "confirm", "k" + std::to_string(i), "body"));
+        told.push_back(m_world.post(*m_one, i % 2 == 0 ? "find" : "confirm", "k" + std::to_string(i), "body"));
     }
-    one->core->beginDrain();
-    const auto late = world.post(*one, "find", "", "late");
+    m_one->core->beginDrain();
+    const auto late = m_world.post(*m_one, "find", "", "late");
     EXPECT_EQ(late->error.outcome, Outcome::Rejected);
-    while (!one->core->drained()) {
-        world.advance(std::chrono::milliseconds(10));
+    while (!m_one->core->drained()) {
+        m_world.advance(std::chrono::milliseconds(10));
     }
     bool all = false;
-    one->core->closeCounters([&all](bool closed) { all = closed; });
-    world.advance(std::chrono::seconds(1));
+    m_one->core->closeCounters([&all](bool closed) { all = closed; });
+    m_world.advance(std::chrono::seconds(1));
     EXPECT_TRUE(all);
     for (const auto &item : told) {
         EXPECT_EQ(item->response.status, 200);
     }
     bool closed = false;
-    EXPECT_EQ(tableTotals(world, closed).finished, 3);
+    EXPECT_EQ(tableTotals(m_world, closed).finished, 3);
     EXPECT_TRUE(closed);
 }
 
--- a/unittests/Protocol/MessagesTest.cpp
+++ b/unittests/Protocol/MessagesTest.cpp
@@ -92,7 +92,7 @@
 {
     const InstanceId instance("scheduler-1");
     EXPECT_FALSE(answerTimelineMessage("gossip", instance, {}));
-    EXPECT_EQ(answerTimelineMessage(TimelineMessage, instance, "\xff\x00"), std::string());
+    EXPECT_EQ(answerTimelineMessage(TimelineMessage, instance, "\xff"), std::string());
     processEvents().add({{1, 0}, "job-placed", {{"job", "j-answered"}}});
     TimelineQuery query;
     query.filter.id = "j-answered";
--- a/unittests/Standin/WorkerModelTest.cpp
+++ b/unittests/Standin/WorkerModelTest.cpp
@@ -28,26 +28,26 @@
         order.task = TaskId("j.1.0");
         order.job = JobId("j");
         order.accelerators = Accelerators(4);
-        order.command = command;
+        order.command = m_command;
         order.milliseconds = ms;
-        order.startByUnixMs = toUnixMs(wall()) + startIn;
+        order.startByUnixMs = toUnixMs(wall()) + m_startIn;
         order.checkpoint = true;
-        order.excepted = excepted;
-        last = model.handle({Epoch(epoch), InstanceId("s"), "http://s", {order}}, now, wall());
-        return last.results.front();
+        order.excepted = m_excepted;
+        m_last = m_model.handle({Epoch(epoch), InstanceId("s"), "http://s", {order}}, m_now, wall());
+        return m_last.results.front();
     }
 
     WallTime wall() const
     {
-        return WallTime(now.time_since_epoch());
+        return WallTime(m_now.time_since_epoch());
     }
 
-    WorkerModel model{info(), {}};
-    MonotonicTime now{std::chrono::seconds(100)};
-    std::string command = "run ms=60000 checkpoint=yes";
-    std::int64_t startIn = 1000;
-    std::vector<JobId> excepted;
-    WorkerReport last;
+    WorkerModel m_model{info(), {}};
+    MonotonicTime m_now{std::chrono::seconds(100)};
+    std::string m_command = "run ms=60000 checkpoint=yes";
+    std::int64_t m_startIn = 1000;
+    std::vector<JobId> m_excepted;
+    WorkerReport m_last;
 };
 
 // Guards against an old owner that still gives orders.
@@ -55,17 +55,17 @@
 {
     EXPECT_TRUE(send(OrderKind::Reserve, 0, 5).ok);
     EXPECT_EQ(send(OrderKind::Start, 1000, 4).reason, "stale-epoch");
-    EXPECT_EQ(last.epoch, Epoch(5));
+    EXPECT_EQ(m_last.epoch, Epoch(5));
 }
 
 // Guards against reservations that hold resources for ever, and against starts that arrive late.
 TEST_F(WorkerModelTest, ReservationsLapseAndLateStartsAreRefused)
 {
     EXPECT_TRUE(send(OrderKind::Reserve).ok);
-    startIn = -1;
+    m_startIn = -1;
     EXPECT_EQ(send(OrderKind::Start, 1000).reason, "too-late");
-    startIn = 1000;
-    now += ReservationTerm;
+    m_startIn = 1000;
+    m_now += ReservationTerm;
     EXPECT_EQ(send(OrderKind::Start, 1000).reason, "unknown-task");
 }
 
@@ -74,19 +74,19 @@
 {
     send(OrderKind::Reserve);
     EXPECT_TRUE(send(OrderKind::Start, 10000).ok);
-    now += 9s;
-    startIn = -1;
+    m_now += 9s;
+    m_startIn = -1;
     EXPECT_EQ(send(OrderKind::Renew, 10000).reason, "too-late");
-    startIn = 1000;
-    excepted = {JobId("j")};
+    m_startIn = 1000;
+    m_excepted = {JobId("j")};
     EXPECT_TRUE(send(OrderKind::Renew, 10000).ok);
-    now += 1s;
-    excepted.clear();
+    m_now += 1s;
+    m_excepted.clear();
     send(OrderKind::Renew, 10000);
-    EXPECT_TRUE(model.activeTasks().empty());
-    ASSERT_EQ(last.tasks.size(), 1U);
-    EXPECT_EQ(last.tasks.front().state, TaskState::Stopped);
-    EXPECT_EQ(last.tasks.front().acceleratorMs, 40000);
+    EXPECT_TRUE(m_model.activeTasks().empty());
+    ASSERT_EQ(m_last.tasks.size(), 1U);
+    EXPECT_EQ(m_last.tasks.front().state, TaskState::Stopped);
+    EXPECT_EQ(m_last.tasks.front().acceleratorMs, 40000);
 }
 
 // Guards against a checkpoint that is claimed without time to write it, and against reports that are lost.
@@ -95,17 +95,17 @@
     send(OrderKind::Reserve);
     send(OrderKind::Start, 10000);
     send(OrderKind::Stop, 500);
-    EXPECT_FALSE(last.tasks.front().checkpointed);
-    now += 500ms;
-    const auto report = model.takeReport(now);
+    EXPECT_FALSE(m_last.tasks.front().checkpointed);
+    m_now += 500ms;
+    const auto report = m_model.takeReport(m_now);
     ASSERT_TRUE(report.has_value());
     EXPECT_TRUE(report->tasks.front().checkpointed);
-    EXPECT_FALSE(model.takeReport(now).has_value());
-    now += 1s;
-    EXPECT_TRUE(model.takeReport(now).has_value());
+    EXPECT_FALSE(m_model.takeReport(m_now).has_value());
+    m_now += 1s;
+    EXPECT_TRUE(m_model.takeReport(m_now).has_value());
     EXPECT_TRUE(send(OrderKind::Release).ok);
-    now += 2s;
-    EXPECT_FALSE(model.takeReport(now).has_value());
+    m_now += 2s;
+    EXPECT_FALSE(m_model.takeReport(m_now).has_value());
 }
 
 } // namespace
