--- a/include/corianderscale/Gateway/OperatorApi.h
+++ b/include/corianderscale/Gateway/OperatorApi.h
@@ -58,6 +58,8 @@
     std::optional<Target> readTarget(const std::string &environment, HttpResponse &refusal);
     /** The operator who may read, or no value with the refusal. */
     std::optional<std::string> reader(const HttpRequest &request, HttpResponse &refusal);
+    /** The environment that a reading request names, or no value with the refusal. */
+    std::optional<std::string> readableEnvironment(const HttpRequest &request, HttpResponse &refusal);
     /** The operator who may change an environment, or no value with the refusal. */
     std::optional<std::string> writer(const HttpRequest &request, const Target &target, HttpResponse &refusal) const;
     HttpResponse accept(const std::string &environment,
--- a/include/corianderscale/Protocol/ConfigurationMessages.h
+++ b/include/corianderscale/Protocol/ConfigurationMessages.h
@@ -28,7 +28,4 @@
 std::optional<ConfigurationRequest> decodeConfigurationRequest(std::string_view bytes, ProtocolError &error);
 ///@}
 
-/** SHA-256 of a document's text in lower-case hexadecimal digits. Thread safety: pure function. */
-std::string documentDigest(const std::string &text);
-
 } // namespace coriander
--- a/include/corianderscale/State/Document.h
+++ b/include/corianderscale/State/Document.h
@@ -89,7 +89,4 @@
                                       const std::string &file,
                                       std::vector<YamlFault> &faults);
 
-/** SHA-256 of @p text in lower-case hexadecimal digits; digest of tokens and documents. */
-std::string sha256Hex(std::string_view text);
-
 } // namespace coriander
--- /dev/null
+++ b/include/corianderscale/Support/Digest.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace coriander {
+
+/** @p size bytes as lower-case hexadecimal digits. Thread safety: pure function. */
+std::string toHex(const unsigned char *bytes, std::size_t size);
+
+/** SHA-256 of @p text in lower-case hexadecimal digits; the digest of tokens and documents. Thread safety: any thread.
+ */
+std::string sha256Hex(std::string_view text);
+
+} // namespace coriander
--- a/lib/Coordination/ConfigExchange.cpp
+++ b/lib/Coordination/ConfigExchange.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Coordination/ConfigExchange.h"
 
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/Log.h"
 
 #include <fmt/format.h>
@@ -138,7 +139,7 @@
 /** Takes a newer version and passes it on. Returns false when the text is not the one that the head names. */
 bool ConfigExchange::adopt(const DocumentHead &head, const std::string &text)
 {
-    if (documentDigest(text) != head.digest) {
+    if (sha256Hex(text) != head.digest) {
         logEvent(LogLevel::Error, "document-digest-mismatch", {{"version", head.version}, {"digest", head.digest}});
         return false;
     }
@@ -257,7 +258,7 @@
     }
     acceptance->headRow = row == nullptr ? RowVersion(0) : row->version;
     acceptance->head.version = head->version + DocumentVersion(1);
-    acceptance->head.digest = documentDigest(acceptance->request.text);
+    acceptance->head.digest = sha256Hex(acceptance->request.text);
     acceptance->head.operatorName = acceptance->request.operatorName;
     acceptance->head.acceptedUnixMs = acceptance->request.acceptedUnixMs;
     writeAcceptance(acceptance);
--- a/lib/Ctl/Commands.h
+++ b/lib/Ctl/Commands.h
@@ -23,6 +23,8 @@
     int printJson(const std::optional<HttpResponse> &response) const;
     /** The JSON of a successful answer; otherwise prints the error and sets @p exitCode. */
     std::optional<Json> take(const std::optional<HttpResponse> &response, int &exitCode) const;
+    /** The same, but prints the answer and returns no value when the user asked for JSON. */
+    std::optional<Json> takeOrPrint(const std::optional<HttpResponse> &response, int &exitCode) const;
 };
 
 /** An option with its value's name and help. */
--- a/lib/Ctl/CtlCall.cpp
+++ b/lib/Ctl/CtlCall.cpp
@@ -30,6 +30,15 @@
     return Json::parse(response->body);
 }
 
+std::optional<Json> CtlCall::takeOrPrint(const std::optional<HttpResponse> &response, int &exitCode) const
+{
+    if (!asJson()) {
+        return take(response, exitCode);
+    }
+    exitCode = printJson(response);
+    return std::nullopt;
+}
+
 int CtlCall::printJson(const std::optional<HttpResponse> &response) const
 {
     int exitCode = ExitSuccess;
--- a/lib/Ctl/DocumentCommands.cpp
+++ b/lib/Ctl/DocumentCommands.cpp
@@ -46,11 +46,8 @@
 
 int printAccepted(CtlCall &call, const std::optional<HttpResponse> &response)
 {
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    if (const auto json = call.take(response, exitCode)) {
+    if (const auto json = call.takeOrPrint(response, exitCode)) {
         *call.hooks.out << fmt::format("{}: version {} is accepted, digest {}\n",
                                        cell(*json, "environment"),
                                        number(*json, "version"),
@@ -110,11 +107,8 @@
         body["environment"] = call.option("environment");
     }
     const auto response = call.client.call("POST", "/v1/operator/diff", {}, bodyOf(body));
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
@@ -170,11 +164,8 @@
 int runStatus(CtlCall &call)
 {
     const auto response = call.client.call("GET", "/v1/operator/status");
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
@@ -211,11 +202,8 @@
         query["environment"] = call.option("environment");
     }
     const auto response = call.client.call("GET", "/v1/operator/history", query);
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
@@ -271,11 +259,8 @@
 int runGuarantees(CtlCall &call)
 {
     const auto response = call.client.call("GET", "/v1/operator/guarantees");
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
--- a/lib/Ctl/WorkCommands.cpp
+++ b/lib/Ctl/WorkCommands.cpp
@@ -109,11 +109,8 @@
 int printRows(CtlCall &call, const std::string &path, const std::string &list, const std::vector<std::string> &keys)
 {
     const auto response = call.client.call("GET", path);
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
@@ -158,11 +155,8 @@
 {
     const auto query = queryOf(call, {{"state", "state"}, {"organisation", "organisation"}, {"limit", "limit"}});
     const auto response = call.client.call("GET", "/v1/operator/jobs", query);
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
@@ -186,11 +180,8 @@
 int runJobsShow(CtlCall &call)
 {
     const auto response = call.client.call("GET", "/v1/operator/jobs/" + call.positional.front());
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    if (const auto json = call.take(response, exitCode)) {
+    if (const auto json = call.takeOrPrint(response, exitCode)) {
         printJob(*json, *call.hooks.out);
     }
     return exitCode;
@@ -199,11 +190,8 @@
 int runJobsCancel(CtlCall &call)
 {
     const auto response = call.client.call("DELETE", "/v1/operator/jobs/" + call.positional.front());
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    if (const auto json = call.take(response, exitCode)) {
+    if (const auto json = call.takeOrPrint(response, exitCode)) {
         *call.hooks.out << fmt::format("{}: {}\n",
                                        cell(*json, "id"),
                                        json->value("cancelRequested", false) ? "cancellation is requested"
@@ -239,7 +227,8 @@
             return *state == JobState::Finished ? ExitSuccess : ExitFailed;
         }
         if (call.hooks.clock.now() >= limit) {
-            *call.hooks.err << "corianderctl: the job has not ended; its state is " << cell(*json, "state") << '\n';
+            *call.hooks.err << "corianderctl: the job has not ended; its state is "
+                            << (json ? cell(*json, "state") : "not known: no gateway answers") << '\n';
             return ExitFailed;
         }
         call.hooks.sleep(WaitInterval);
@@ -260,11 +249,8 @@
 int runExplain(CtlCall &call)
 {
     const auto response = call.client.call("GET", "/v1/operator/explain/" + call.positional.front());
-    if (call.asJson()) {
-        return call.printJson(response);
-    }
     int exitCode = ExitSuccess;
-    const auto json = call.take(response, exitCode);
+    const auto json = call.takeOrPrint(response, exitCode);
     if (!json) {
         return exitCode;
     }
--- a/lib/Gateway/DocumentPoller.cpp
+++ b/lib/Gateway/DocumentPoller.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Gateway/DocumentPoller.h"
 
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/Log.h"
 
 namespace coriander {
--- a/lib/Gateway/OperatorAccess.cpp
+++ b/lib/Gateway/OperatorAccess.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Gateway/OperatorAccess.h"
 
+#include "corianderscale/Support/Digest.h"
+
 #include <openssl/crypto.h>
 
 namespace coriander {
--- a/lib/Gateway/OperatorDocuments.cpp
+++ b/lib/Gateway/OperatorDocuments.cpp
@@ -2,6 +2,7 @@
 #include "corianderscale/Gateway/OperatorApi.h"
 #include "corianderscale/Gateway/OperatorReplies.h"
 #include "corianderscale/State/TextDiff.h"
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/Log.h"
 
 namespace coriander {
@@ -217,7 +218,7 @@
         m_hooks.accepted(environment, {*head, text});
     }
     Json json = headToJson(*head);
-    json["environment"] = environment;
+    json["environment"] = *environment;
     return operatorJson(json);
 }
 
@@ -277,18 +278,28 @@
     return accept(Production, trial->accepted.text, call->base.value_or(target->accepted.head.version), *name);
 }
 
-HttpResponse OperatorApi::history(const HttpRequest &request)
+std::optional<std::string> OperatorApi::readableEnvironment(const HttpRequest &request, HttpResponse &refusal)
 {
-    HttpResponse refusal;
     if (!reader(request, refusal)) {
-        return refusal;
+        return std::nullopt;
     }
-    const std::string environment = environmentParameter(request, m_hooks.environment);
+    std::string environment = environmentParameter(request, m_hooks.environment);
     if (!knownEnvironment(environment)) {
-        return operatorInvalid("environment: expected trial or production");
+        refusal = operatorInvalid("environment: expected trial or production");
+        return std::nullopt;
+    }
+    return environment;
+}
+
+HttpResponse OperatorApi::history(const HttpRequest &request)
+{
+    HttpResponse refusal;
+    const auto environment = readableEnvironment(request, refusal);
+    if (!environment) {
+        return refusal;
     }
     StateError error;
-    const auto heads = m_documents.history(environment, deadline(StoreWait), error);
+    const auto heads = m_documents.history(*environment, deadline(StoreWait), error);
     if (!heads) {
         return operatorError(error);
     }
@@ -296,26 +307,23 @@
     for (const DocumentHead &head : *heads) {
         versions.push_back(headToJson(head));
     }
-    return operatorJson({{"environment", environment}, {"versions", std::move(versions)}});
+    return operatorJson({{"environment", *environment}, {"versions", std::move(versions)}});
 }
 
 HttpResponse OperatorApi::document(const HttpRequest &request)
 {
     HttpResponse refusal;
-    if (!reader(request, refusal)) {
+    const auto environment = readableEnvironment(request, refusal);
+    if (!environment) {
         return refusal;
     }
-    const std::string environment = environmentParameter(request, m_hooks.environment);
-    if (!knownEnvironment(environment)) {
-        return operatorInvalid("environment: expected trial or production");
-    }
     StateError error;
-    const auto accepted = m_documents.read(environment, deadline(StoreWait), error);
+    const auto accepted = m_documents.read(*environment, deadline(StoreWait), error);
     if (!accepted) {
         return operatorError(error);
     }
     Json json = headToJson(accepted->head);
-    json["environment"] = environment;
+    json["environment"] = *environment;
     json["document"] = accepted->text;
     return operatorJson(json);
 }
@@ -323,12 +331,12 @@
 Json OperatorApi::environmentJson(const std::string &environment)
 {
     StateError error;
-    const auto accepted = m_documents.read(environment, deadline(StoreWait), error);
+    const auto accepted = m_documents.read(*environment, deadline(StoreWait), error);
     if (!accepted) {
         return {{"environment", environment}, {"known", false}, {"reason", error.reason}};
     }
     Json json = headToJson(accepted->head);
-    json["environment"] = environment;
+    json["environment"] = *environment;
     json["known"] = true;
     return json;
 }
--- a/lib/Protocol/ConfigurationMessages.cpp
+++ b/lib/Protocol/ConfigurationMessages.cpp
@@ -1,10 +1,7 @@
 #include "corianderscale/Protocol/ConfigurationMessages.h"
 
 #include "corianderscale/Protocol/TableMessages.h"
-
-#include <openssl/sha.h>
-
-#include <array>
+#include "corianderscale/Support/Digest.h"
 
 namespace coriander {
 
@@ -53,7 +50,7 @@
     offer.environment = reader.requiredText("environment");
     reader.requiredObject("head", [&](JsonReader &head) { offer.head = DocumentHead::fromJson(head); });
     offer.text = reader.requiredText("text", MaximumRowValueBytes);
-    if (!reader.failed() && documentDigest(offer.text) != offer.head.digest) {
+    if (!reader.failed() && sha256Hex(offer.text) != offer.head.digest) {
         reader.fault("text", "expected the text that the digest names");
     }
     return reader.failed() ? std::nullopt : std::optional(offer);
@@ -76,17 +73,4 @@
     return reader.failed() ? std::nullopt : std::optional(request);
 }
 
-std::string documentDigest(const std::string &text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    constexpr char Digits[] = "0123456789abcdef";
-    std::string hex;
-    for (const unsigned char byte : digest) {
-        hex += Digits[byte >> 4];
-        hex += Digits[byte & 15];
-    }
-    return hex;
-}
-
 } // namespace coriander
--- a/lib/State/Document.cpp
+++ b/lib/State/Document.cpp
@@ -1,9 +1,6 @@
 #include "corianderscale/State/Document.h"
 
-#include <openssl/evp.h>
-
 #include <algorithm>
-#include <array>
 
 namespace coriander {
 
@@ -33,18 +30,4 @@
     return findById(dataCentres, id, &DataCentreSpec::id);
 }
 
-std::string sha256Hex(std::string_view text)
-{
-    constexpr char Digits[] = "0123456789abcdef";
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    for (unsigned int i = 0; i < size; ++i) {
-        hex += Digits[digest[i] >> 4U];
-        hex += Digits[digest[i] & 15U];
-    }
-    return hex;
-}
-
 } // namespace coriander
--- a/lib/State/DocumentLedger.cpp
+++ b/lib/State/DocumentLedger.cpp
@@ -1,6 +1,7 @@
 #include "corianderscale/State/DocumentLedger.h"
 
 #include "corianderscale/State/Document.h"
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/Log.h"
 
 #include <fmt/format.h>
--- a/lib/State/DocumentParser.cpp
+++ b/lib/State/DocumentParser.cpp
@@ -1,3 +1,5 @@
+#include "corianderscale/Support/Digest.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
--- a/lib/Support/StrongId.cpp
+++ b/lib/Support/StrongId.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Support/StrongId.h"
 
+#include "corianderscale/Support/Digest.h"
+
 #include <openssl/rand.h>
 
 #include <algorithm>
@@ -36,14 +38,7 @@
     if (RAND_bytes(buffer.data(), static_cast<int>(bytes)) != 1) {
         throw std::runtime_error("the operating system gave no random bytes");
     }
-    constexpr char Digits[] = "0123456789abcdef";
-    std::string text;
-    text.reserve(bytes * 2);
-    for (unsigned char byte : buffer) {
-        text += Digits[byte >> 4];
-        text += Digits[byte & 15];
-    }
-    return text;
+    return toHex(buffer.data(), buffer.size());
 }
 
 } // namespace coriander
--- a/lib/Transport/PeerHandshake.cpp
+++ b/lib/Transport/PeerHandshake.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Transport/PeerHandshake.h"
 
+#include "corianderscale/Support/Digest.h"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -56,13 +58,7 @@
         == nullptr) {
         throw std::runtime_error("the cryptography library could not compute an HMAC");
     }
-    constexpr char Digits[] = "0123456789abcdef";
-    std::string proof;
-    for (unsigned int i = 0; i < length; ++i) {
-        proof += Digits[digest[i] >> 4];
-        proof += Digits[digest[i] & 15];
-    }
-    return proof;
+    return toHex(digest.data(), length);
 }
 
 bool proofsEqual(const std::string &left, const std::string &right)
--- a/unittests/Coordination/ConfigExchangeTest.cpp
+++ b/unittests/Coordination/ConfigExchangeTest.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Coordination/ConfigExchange.h"
 
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <gtest/gtest.h>
@@ -151,8 +152,8 @@
     EXPECT_EQ((*first)->error.code, CoordinationCode::None);
     EXPECT_EQ((*second)->error.code, CoordinationCode::Conflict);
     EXPECT_EQ((*second)->head.version, DocumentVersion(1));
-    EXPECT_EQ((*second)->head.digest, documentDigest("a"));
-    EXPECT_NE((*second)->error.reason.find(documentDigest("a")), std::string::npos);
+    EXPECT_EQ((*second)->head.digest, sha256Hex("a"));
+    EXPECT_NE((*second)->error.reason.find(sha256Hex("a")), std::string::npos);
 }
 
 // Guards against a lost answer making an accepted version look refused, or a refused one accepted.
@@ -213,7 +214,7 @@
     run(seconds(1));
     DocumentHead head;
     head.version = DocumentVersion(9);
-    head.digest = documentDigest("x");
+    head.digest = sha256Hex("x");
     const std::string whole = encodeConfigurationOffer({"trial", head, "x"});
     for (std::size_t length = 0; length < whole.size(); ++length) {
         m_nodes[0]->exchange->handleOffer(whole.substr(0, length));
--- a/unittests/Gateway/GatewayWorld.h
+++ b/unittests/Gateway/GatewayWorld.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Coordination/RetryBudget.h"
 #include "corianderscale/Gateway/GatewayCore.h"
 #include "corianderscale/Standin/EndpointModel.h"
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <functional>
--- a/unittests/Gateway/OperatorApiTest.cpp
+++ b/unittests/Gateway/OperatorApiTest.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Gateway/OperatorApi.h"
 
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <gtest/gtest.h>
--- a/unittests/State/DocumentLedgerTest.cpp
+++ b/unittests/State/DocumentLedgerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "corianderscale/State/Document.h"
 #include "corianderscale/State/TextDiff.h"
+#include "corianderscale/Support/Digest.h"
 #include "corianderscale/Support/ManualClock.h"
 
 #include <gtest/gtest.h>
--- a/unittests/State/DocumentTest.cpp
+++ b/unittests/State/DocumentTest.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/State/Document.h"
 
+#include "corianderscale/Support/Digest.h"
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
