--- a/lib/Gateway/OperatorDocuments.cpp
+++ b/lib/Gateway/OperatorDocuments.cpp
@@ -218,7 +218,7 @@
         m_hooks.accepted(environment, {*head, text});
     }
     Json json = headToJson(*head);
-    json["environment"] = *environment;
+    json["environment"] = environment;
     return operatorJson(json);
 }
 
@@ -331,12 +331,12 @@
 Json OperatorApi::environmentJson(const std::string &environment)
 {
     StateError error;
-    const auto accepted = m_documents.read(*environment, deadline(StoreWait), error);
+    const auto accepted = m_documents.read(environment, deadline(StoreWait), error);
     if (!accepted) {
         return {{"environment", environment}, {"known", false}, {"reason", error.reason}};
     }
     Json json = headToJson(accepted->head);
-    json["environment"] = *environment;
+    json["environment"] = environment;
     json["known"] = true;
     return json;
 }
