--- a/include/corianderscale/Scheduler/SchedulerDaemon.h
+++ b/include/corianderscale/Scheduler/SchedulerDaemon.h
@@ -59,6 +59,7 @@
     void membershipStep();
     std::string explain(const JobId &job) const;
     std::string answerSnapshotRequest(const Json &body);
+    bool knowsDocument();
     void readTakeover(Epoch epoch);
     void takeoverStep();
     void renewalStep();
--- a/lib/Scheduler/OwnershipDuty.cpp
+++ b/lib/Scheduler/OwnershipDuty.cpp
@@ -41,7 +41,6 @@
 {
     Ownership::Hooks hooks = ownershipHooks(m_store);
     hooks.acquired = [this](Epoch epoch) {
-        logEvent(LogLevel::Info, "ownership-acquired", {{"epoch", epoch}});
         m_outputs.acquired(epoch);
     };
     hooks.lost = [this](Epoch epoch, const std::string &reason) {
--- a/lib/Scheduler/SchedulerDaemonPeers.cpp
+++ b/lib/Scheduler/SchedulerDaemonPeers.cpp
@@ -148,9 +148,20 @@
     m_recorder->keep(std::move(snapshot));
 }
 
+bool SchedulerDaemon::knowsDocument()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_documentVersion > DocumentVersion(0);
+}
+
 void SchedulerDaemon::readTakeover(Epoch epoch)
 {
     while (m_ownership->ownedEpoch() == epoch) {
+        // Without the document the owner would take claimed work for lent work, and count days in the wrong zone.
+        if (!knowsDocument()) {
+            std::this_thread::sleep_for(TakeoverRetry);
+            continue;
+        }
         std::string reason;
         CivilDays days{"UTC"};
         {
