--- a/unittests/Transport/HttpTest.cpp
+++ b/unittests/Transport/HttpTest.cpp
@@ -4,7 +4,11 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "Support/TestAddress.h"
 
@@ -100,6 +104,60 @@
     EXPECT_EQ(error.code, TransportCode::Unreachable);
 }
 
+/** Sends raw bytes to the test server and returns what it answers until it closes or @p expected has come. */
+std::string exchangeRaw(const std::string &bytes, const std::string &expected)
+{
+    const int socketFd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(testPort(0)));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const timeval limit{20, 0};
+    setsockopt(socketFd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    std::string answer;
+    if (connect(socketFd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+        send(socketFd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        char buffer[1024];
+        while (answer.find(expected) == std::string::npos) {
+            const ssize_t count = recv(socketFd, buffer, sizeof(buffer), 0);
+            if (count <= 0) {
+                break;
+            }
+            answer.append(buffer, static_cast<std::size_t>(count));
+        }
+    }
+    close(socketFd);
+    return answer;
+}
+
+// Guards against a half-sent request staying in progress for ever, or keeping others from being served.
+TEST_F(Http, halfSentBodyIsAnsweredAndCostsNobodyElse)
+{
+    m_server.route("POST", "/only", [](const HttpRequest &, const auto &, const auto &respond) { respond({}); });
+    TransportError error;
+    ASSERT_TRUE(m_server.start(error)) << error.reason;
+    const std::string half = "POST /only HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\nabc";
+    EXPECT_NE(exchangeRaw(half, " 408 ").find(" 408 "), std::string::npos);
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/only";
+    request.body = "whole";
+    const auto response = call(request, error);
+    ASSERT_TRUE(response) << error.reason;
+    EXPECT_EQ(response->status, 200);
+}
+
+// Guards against a body of unknown length being read without bound.
+TEST_F(Http, chunkedBodyIsRefused)
+{
+    m_server.route("POST", "/only", [](const HttpRequest &, const auto &, const auto &respond) { respond({}); });
+    TransportError error;
+    ASSERT_TRUE(m_server.start(error)) << error.reason;
+    const std::string chunked
+        = "POST /only HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    EXPECT_NE(exchangeRaw(chunked, " 411 ").find(" 411 "), std::string::npos);
+}
+
 // Guards against a full ring losing an item silently or growing without bound.
 TEST(BoundedRing, refusesWhenFullAndKeepsOrder)
 {
