--- a/include/corianderscale/Daemon/CommandLine.h
+++ b/include/corianderscale/Daemon/CommandLine.h
@@ -27,6 +27,8 @@
     std::string purpose;
     /** Reads and checks the settings; adds faults. Called once, before @c run. */
     std::function<void(YamlMap &settings)> readSettings;
+    /** Whether SIGINT and SIGTERM are blocked for waitForShutdownSignal(); false for a program that handles them. */
+    bool blocksSignals = true;
     /** Runs the daemon with checked settings until it is told to stop; returns its exit code. */
     std::function<int()> run;
 };
@@ -34,7 +36,7 @@
 /**
  * Handles `--help`, `--version`, `--settings FILE` and `--check-settings FILE`, prints every fault of the settings, and
  * runs the daemon. Precondition: called from main() before other threads start. Blocks SIGINT and SIGTERM for
- * waitForShutdownSignal().
+ * waitForShutdownSignal() unless the program handles them itself.
  */
 int runDaemon(int argc, char **argv, const DaemonProgram &program);
 
--- a/include/corianderscale/Support/Log.h
+++ b/include/corianderscale/Support/Log.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -41,7 +42,14 @@
 void setLogLevel(LogLevel level);
 
 /**
- * Writes one line of key=value pairs to standard error: time, level, program, instance, event, then @p fields.
+ * Has lines handed to @p sink in place of standard error, and keeps no history of events for the time line; an empty
+ * sink restores both. Call while no other thread logs.
+ */
+void setLogSink(std::function<void(std::string line)> sink);
+
+/**
+ * Writes one line of key=value pairs to standard error or to the sink: time, level, program, instance, event, then
+ * @p fields.
  *
  * Thread safety: any thread; lines are written whole.
  */
--- a/include/corianderscale/Support/Time.h
+++ b/include/corianderscale/Support/Time.h
@@ -42,6 +42,9 @@
 /** Returns the clock of the operating system. Thread safety: any thread. */
 Clock systemClock();
 
+/** Like systemClock(), but its monotonic time counts also while the machine is suspended. Thread safety: any thread. */
+Clock suspendAwareClock();
+
 /** Converts to whole milliseconds since the Unix epoch, the unit of the HTTP interfaces. */
 std::int64_t toUnixMs(WallTime time);
 
--- /dev/null
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "corianderscale/Support/Time.h"
+#include "corianderscale/Workflow/Catalogue.h"
+#include "corianderscale/Workflow/JobTable.h"
+#include "corianderscale/Workflow/Placement.h"
+#include "corianderscale/Workflow/RowStore.h"
+#include "corianderscale/Workflow/WorkerBook.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coriander::workflow {
+
+/** Times of the engine; the defaults that depend on a deployment are replaced by its settings. */
+struct EngineTimes {
+    /** Lease of the runs on a worker; under the deployment's longest lease and over a change of owner. */
+    Duration lease = std::chrono::seconds(8);
+    /** Longest lease that any order can give; the deployment's. */
+    Duration longestLease = std::chrono::seconds(10);
+    /** How long a hold waits for an end; a few a lease, so that one lost answer does no harm. */
+    Duration holdWait = std::chrono::milliseconds(1500);
+    /** How long an order may go without an answer; an order that is not delayed takes a few ms. */
+    Duration orderLimit = std::chrono::milliseconds(1000);
+    /** Pause after an order without an answer. */
+    Duration retryAfter = std::chrono::milliseconds(300);
+    /** How long an unanswered start may stay unlisted before the run is stopped; leaves a gang time to try again. */
+    Duration unclearTime = std::chrono::milliseconds(800);
+    /** Pause before the next hold while ends wait to be stored; keeps leases alive when the store is away. */
+    Duration storeWait = std::chrono::milliseconds(1000);
+    /** Time between two passes over the waiting tasks without an event; sees times that have come due. */
+    Duration planEvery = std::chrono::milliseconds(200);
+    /** Leases are given this long after the store last confirmed the term; bridges an outage of the store. */
+    Duration grantTime = std::chrono::seconds(15);
+    /** How long a worker whose runs fail is avoided; several task lengths. */
+    Duration avoidTime = std::chrono::seconds(10);
+    /** How long a worker that says that it is unhealthy is avoided. */
+    Duration unhealthyTime = std::chrono::seconds(2);
+};
+
+/** Rows to store together, and what follows when they are. */
+struct EngineBatch {
+    std::vector<Row> written;
+    std::vector<RowName> removed;
+    /** Runs whose start order may be sent. */
+    std::vector<std::pair<WorkerId, RunKey>> starts;
+    /** Ends that a worker may forget. */
+    std::map<WorkerId, std::int64_t> recorded;
+
+    bool empty() const
+    {
+        return written.empty() && removed.empty() && recorded.empty();
+    }
+};
+
+/**
+ * The owner's mind: which jobs wait, what runs where, what is next. Decides and sends orders; it never sends a start
+ * before the intent is stored, and never lets a worker forget an end before its effect is.
+ *
+ * A run counts as existing until the worker lists its end, or confirms a stop and then lists it no more, or is gone, or
+ * all its leases have surely ended. Only then may the task run again.
+ *
+ * Thread safety: only on the thread of the event loop. Completions of orders that come after destruction are dropped.
+ */
+class JobEngine
+{
+public:
+    /** @p wantsStorage is called when there are new changes to store. @p orders must outlive the engine. */
+    JobEngine(EngineTimes times, Clock clock, Epoch epoch, WorkerOrders &orders, std::function<void()> wantsStorage);
+    ~JobEngine();
+    JobEngine(const JobEngine &) = delete;
+    JobEngine &operator=(const JobEngine &) = delete;
+
+    void setCatalogue(std::shared_ptr<const Catalogue> catalogue);
+
+    /** @name Jobs */
+    ///@{
+    /** Takes over a job with what an earlier owner stored of its occurrences. */
+    void restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress);
+    /** Takes a new job; one that is known is ignored. */
+    void addJob(JobSpec spec);
+    /** Stops a job's runs and starts no more; an unknown job is ignored. */
+    void cancelJob(const JobId &id);
+    ///@}
+
+    /** @name Workers */
+    ///@{
+    void reportWorker(const WorkerReport &report);
+    /** Discovery lists the worker no more. It gets no new work; its runs count until their leases end. */
+    void unlistWorker(const WorkerId &id);
+    ///@}
+
+    /** Sends what is due. Call after events and several times a second. */
+    void step();
+
+    /** The store confirmed at @p sentAt or later that this instance owns the term. */
+    void termConfirmed(MonotonicTime sentAt);
+
+    /** @name Storage; one batch at a time */
+    ///@{
+    EngineBatch takeBatch(std::size_t mostRows);
+    void batchStored(const EngineBatch &batch);
+    ///@}
+
+    /** @name For tests and metrics */
+    ///@{
+    const WorkerBook &workers() const;
+    const Job *job(const JobId &id) const;
+    std::size_t jobCount() const;
+    ///@}
+
+private:
+    /** Tasks that are placed together, or one after the other, and their place in the queue. */
+    struct Candidate {
+        Job *job = nullptr;
+        std::size_t occurrence = 0;
+        std::size_t step = 0;
+        const QueueSpec *queue = nullptr;
+        MonotonicTime objective;
+        bool late = false;
+    };
+
+    // JobEngine.cpp
+    void markDirty(const TaskKey &key);
+    void markState(Job &job, JobState state);
+    void finishIfDone(Job &job);
+    void failJob(Job &job, const TaskKey &task);
+    void stopJob(Job &job);
+    void addRowsOf(Job &job, EngineBatch &batch);
+    Job *findJob(const JobId &id);
+    int mostAttempts(const Job &job) const;
+
+    // JobEngineRuns.cpp
+    void runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint);
+    void runGone(Worker &worker, const RunKey &key, const char *cause);
+    void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
+    void countFailure(Job &job, const TaskKey &key, const WorkerId &worker);
+    void stopGang(Job &job, const TaskKey &key, std::int64_t run);
+    void stopRun(const WorkerId &worker, const RunKey &key);
+    void workerLost(Worker &worker, const char *cause);
+    void workerRestarted(Worker &worker, Incarnation incarnation);
+
+    // JobEngineOrders.cpp
+    void sendStart(Worker &worker, Run &run);
+    void startAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer);
+    void sendDueStops(Worker &worker, MonotonicTime now);
+    void stopAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer);
+    void sendDueHold(Worker &worker, MonotonicTime now);
+    bool holdDue(const Worker &worker, MonotonicTime now) const;
+    void holdAnswered(const WorkerId &id, const HoldAnswer &answer);
+    void takeEnds(Worker &worker, const std::vector<EndedTask> &ends);
+    void takeRunning(Worker &worker, const std::vector<RunningTask> &running);
+    void checkUnlisted(Worker &worker, const HoldAnswer &answer);
+    bool noteAnswer(Worker &worker, const OrderAnswer &answer);
+    std::optional<WorkerClockMs> nextLease(Worker &worker);
+    OrderTarget targetOf(const Worker &worker) const;
+    void expireLeases(MonotonicTime now);
+
+    // JobEnginePlan.cpp
+    void plan(MonotonicTime now);
+    std::vector<Candidate> candidates(MonotonicTime now);
+    void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
+    PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
+    std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
+    void place(const Candidate &candidate, FreeRoom &room, MonotonicTime now);
+    void assign(const Candidate &candidate,
+                const std::vector<std::size_t> &tasks,
+                const std::vector<WorkerId> &workers,
+                MonotonicTime now);
+    bool holdsGuarantee(const Candidate &candidate) const;
+    void reclaim(const Candidate &candidate, const PlacementNeed &need, FreeRoom &room, MonotonicTime now);
+    std::optional<double> victimCost(const Run &run, int claimantPriority, MonotonicTime now) const;
+
+    EngineTimes m_times;
+    Clock m_clock;
+    Epoch m_epoch;
+    WorkerOrders &m_orders;
+    std::function<void()> m_wantsStorage;
+    std::shared_ptr<const Catalogue> m_catalogue;
+    std::map<JobId, Job> m_jobs;
+    WorkerBook m_workers;
+    /** Jobs with rows to store, oldest change first. */
+    std::set<JobId> m_dirtyJobs;
+    /** Jobs that ended in this term; a late feed may still show them. */
+    std::set<JobId> m_ended;
+    std::set<WorkerId> m_workersWithEnds;
+    MonotonicTime m_startedAt;
+    MonotonicTime m_termConfirmedAt;
+    MonotonicTime m_nextPlanAt;
+    bool m_planWanted = true;
+    /** Expires with the engine; completions of orders hold a weak reference. */
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/include/corianderscale/Workflow/OwnerDuty.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "corianderscale/Workflow/JobEngine.h"
+#include "corianderscale/Workflow/TableFollower.h"
+#include "corianderscale/Workflow/TermChain.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coriander::workflow {
+
+/** Where workers register, and how a row is read. */
+struct DiscoverySource {
+    std::string table;
+    /** A row's report, or no value and the reason when the row names no worker. */
+    std::function<std::optional<WorkerReport>(const Row &, ProtocolError &)> decode;
+};
+
+struct OwnerTimes {
+    TermTimes term;
+    EngineTimes engine;
+    /** How often the engine looks at what is due. */
+    Duration stepEvery = std::chrono::milliseconds(50);
+    /** How often the discovery is read; workers report every 1.5 s. */
+    Duration discoveryEvery = std::chrono::milliseconds(500);
+    /** An owner that most workers do not answer for this long hands the term back. */
+    Duration isolatedTime = std::chrono::seconds(2);
+    /** How long it then leaves the term to others. */
+    Duration isolatedPause = std::chrono::seconds(10);
+};
+
+/**
+ * Takes part in the election and, while this instance owns the term, reads what is stored and runs the engine.
+ *
+ * Thread safety: only on the thread of the event loop.
+ */
+class OwnerDuty
+{
+public:
+    OwnerDuty(boost::asio::io_context &loop,
+              OwnerTimes times,
+              Clock clock,
+              InstanceId instance,
+              RowStore &store,
+              WorkerOrders &orders,
+              DiscoverySource discovery);
+    ~OwnerDuty();
+    OwnerDuty(const OwnerDuty &) = delete;
+    OwnerDuty &operator=(const OwnerDuty &) = delete;
+
+    void start();
+    void setCatalogue(std::shared_ptr<const Catalogue> catalogue);
+
+    /** Hands the term back for good. */
+    void retire();
+    /** Whether nothing of the term is left to write. */
+    bool retired() const;
+
+    /** The engine while this instance owns the term and has read what is stored. */
+    const JobEngine *engine() const;
+    std::optional<Epoch> epoch() const;
+
+private:
+    void won(Epoch epoch);
+    void lost(const std::string &reason);
+    void progressRead(const std::vector<Row> &rows);
+    void jobsRead(const std::vector<Row> &rows);
+    void jobsChanged(const std::vector<Row> &rows);
+    void takeJobRow(const Row &row);
+    void workersRead(const std::vector<Row> &rows);
+    void workersChanged(const std::vector<Row> &rows);
+    std::optional<RowChange> nextChange();
+    void changeStored();
+    void armTimer(Duration pause);
+    void step();
+    void checkIsolation(MonotonicTime now);
+
+    boost::asio::io_context &m_loop;
+    OwnerTimes m_times;
+    Clock m_clock;
+    RowStore &m_store;
+    WorkerOrders &m_orders;
+    DiscoverySource m_discovery;
+    boost::asio::steady_timer m_timer;
+    TermChain m_chain;
+    std::shared_ptr<const Catalogue> m_catalogue;
+    std::map<JobId, std::map<std::size_t, OccurrenceRecord>> m_progress;
+    std::optional<TableFollower> m_progressReader;
+    std::optional<TableFollower> m_jobsFollower;
+    std::optional<TableFollower> m_workersFollower;
+    std::unique_ptr<JobEngine> m_engine;
+    bool m_restored = false;
+    std::optional<EngineBatch> m_batch;
+    MonotonicTime m_isolatedSince = NeverDue;
+    MonotonicTime m_resumeAt = NeverDue;
+    bool m_retired = false;
+};
+
+} // namespace coriander::workflow
--- a/lib/Daemon/CommandLine.cpp
+++ b/lib/Daemon/CommandLine.cpp
@@ -79,7 +79,9 @@
         std::cout << file << ": ok\n";
         return ExitSuccess;
     }
-    blockShutdownSignals();
+    if (program.blocksSignals) {
+        blockShutdownSignals();
+    }
     return program.run();
 }
 
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -16,6 +16,7 @@
 
 std::atomic<LogLevel> minimumLevel = LogLevel::Info;
 std::string processFields;
+std::function<void(std::string)> lineSink;
 
 std::string_view levelName(LogLevel level)
 {
@@ -65,6 +66,11 @@
     processFields = fmt::format(" program={} instance={}", program, instance);
 }
 
+void setLogSink(std::function<void(std::string line)> sink)
+{
+    lineSink = std::move(sink);
+}
+
 void setLogLevel(LogLevel level)
 {
     minimumLevel = level;
@@ -80,7 +86,7 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level >= LogLevel::Info) {
+    if (level >= LogLevel::Info && !lineSink) {
         processEvents().add({processClock().tick(), std::string(event), fields});
     }
     if (level < minimumLevel.load()) {
@@ -99,6 +105,10 @@
         line += formatLogField(field);
     }
     line += '\n';
+    if (lineSink) {
+        lineSink(std::move(line));
+        return;
+    }
     // One call writes the whole line, so that lines of different threads do not mix.
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- /dev/null
+++ b/lib/Support/LogWriter.cpp
@@ -0,0 +1,124 @@
+#include "corianderscale/Support/LogWriter.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+
+namespace coriander {
+
+namespace {
+
+/** Lines that wait for the writer; about 1 MiB with lines of usual length. */
+constexpr std::size_t MostWaiting = 4096;
+/** Lines gather this long, so that a write carries several. */
+constexpr auto GatherTime = std::chrono::milliseconds(50);
+/** How long one write waits for the reader before the lines are left out. */
+constexpr int WriteWaitMs = 500;
+
+/** Writes all of @p text; returns false when the reader takes nothing for a while. */
+bool writeAll(const std::string &text)
+{
+    std::size_t written = 0;
+    while (written < text.size()) {
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, WriteWaitMs) <= 0) {
+            return false;
+        }
+        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        if (count <= 0) {
+            return false;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
+} // namespace
+
+LogWriter::LogWriter()
+    : m_thread([this] {
+        run();
+    })
+{
+    setLogSink([this](std::string line) {
+        add(std::move(line));
+    });
+}
+
+LogWriter::~LogWriter()
+{
+    setLogSink({});
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_ending = true;
+    }
+    m_wake.notify_one();
+    m_thread.join();
+}
+
+std::size_t LogWriter::leftOut() const
+{
+    return m_leftOut;
+}
+
+void LogWriter::add(std::string line)
+{
+    bool wake = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_lines.size() >= MostWaiting) {
+            ++m_leftOutSince;
+            ++m_leftOut;
+            return;
+        }
+        wake = m_lines.empty();
+        m_lines.push_back(std::move(line));
+    }
+    if (wake) {
+        m_wake.notify_one();
+    }
+}
+
+void LogWriter::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (true) {
+        m_wake.wait(lock, [this] {
+            return m_ending || !m_lines.empty();
+        });
+        if (!m_ending) {
+            m_wake.wait_for(lock, GatherTime, [this] {
+                return m_ending;
+            });
+        }
+        std::deque<std::string> lines = std::move(m_lines);
+        m_lines.clear();
+        if (m_leftOutSince > 0) {
+            lines.push_back("event=log-lines-left-out count=" + std::to_string(m_leftOutSince) + "\n");
+            m_leftOutSince = 0;
+        }
+        const bool ending = m_ending;
+        lock.unlock();
+        writeOut(lines);
+        lock.lock();
+        if (ending && m_lines.empty()) {
+            return;
+        }
+    }
+}
+
+void LogWriter::writeOut(const std::deque<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line;
+    }
+    if (!writeAll(text)) {
+        m_leftOut += lines.size();
+    }
+}
+
+} // namespace coriander
--- a/lib/Support/Time.cpp
+++ b/lib/Support/Time.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Support/Time.h"
 
+#include <time.h>
+
 namespace coriander {
 
 Clock systemClock()
@@ -16,6 +18,18 @@
     };
 }
 
+Clock suspendAwareClock()
+{
+    Clock clock = systemClock();
+    clock.now = [] {
+        timespec now{};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        const auto elapsed = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+        return MonotonicTime(std::chrono::duration_cast<Duration>(elapsed));
+    };
+    return clock;
+}
+
 std::int64_t toUnixMs(WallTime time)
 {
     return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
--- /dev/null
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -0,0 +1,345 @@
+#include "corianderscale/Transport/AsyncHttpClient.h"
+
+#include "UriText.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace coriander {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/** Largest response that is read; the platform sends at most 1 MB of rows or 8 MB of an object. */
+constexpr std::uint64_t MaximumResponseBytes = 12 * 1024 * 1024;
+
+struct Call {
+    HttpRequest request;
+    SteadyTime deadline;
+    AsyncHttpCompletion done;
+};
+
+} // namespace
+
+class AsyncHttpClient::Implementation : public std::enable_shared_from_this<AsyncHttpClient::Implementation>
+{
+public:
+    class Connection;
+
+    struct Pool {
+        Tcp::endpoint endpoint;
+        std::vector<std::shared_ptr<Connection>> idle;
+        std::size_t open = 0;
+        std::deque<Call> waiting;
+    };
+
+    Implementation(asio::io_context &loop, Settings settings)
+        : m_loop(loop)
+        , m_settings(settings)
+    {
+    }
+
+    void send(const std::string &address, Call call);
+    void startWaiting(const std::string &address);
+    void closeIdle(const std::string &address);
+    void fail(AsyncHttpCompletion done, TransportError error);
+
+    asio::io_context &m_loop;
+    Settings m_settings;
+    std::map<std::string, Pool> m_pools;
+};
+
+/** One connection to an address; serves one call at a time. */
+class AsyncHttpClient::Implementation::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<Implementation> client, std::string address)
+        : m_client(std::move(client))
+        , m_address(std::move(address))
+        , m_socket(m_client->m_loop)
+        , m_timer(m_client->m_loop)
+    {
+        ++pool().open;
+    }
+
+    void start(Call call)
+    {
+        m_call = std::move(call);
+        m_idle = false;
+        m_phase = TransportCode::Unreachable;
+        if (m_connected) {
+            m_reused = true;
+            startTimer(m_call.deadline);
+            writeRequest();
+            return;
+        }
+        startTimer(std::min(m_call.deadline, std::chrono::steady_clock::now() + m_client->m_settings.connectTime));
+        m_socket.async_connect(pool().endpoint, [self = shared_from_this()](boost::system::error_code code) {
+            self->connected(code);
+        });
+    }
+
+    /** Watches an idle connection, so that one closed by the peer is not used again. */
+    void watchIdle()
+    {
+        m_idle = true;
+        m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code code) {
+            if (code == asio::error::operation_aborted || !self->m_idle) {
+                return;
+            }
+            self->close();
+        });
+    }
+
+    void close()
+    {
+        if (m_closed) {
+            return;
+        }
+        m_closed = true;
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        Pool &own = pool();
+        --own.open;
+        std::erase(own.idle, shared_from_this());
+    }
+
+private:
+    Pool &pool()
+    {
+        return m_client->m_pools[m_address];
+    }
+
+    void startTimer(SteadyTime deadline)
+    {
+        m_timedOut = false;
+        m_timer.expires_at(deadline);
+        m_timer.async_wait([weak = weak_from_this()](boost::system::error_code code) {
+            const std::shared_ptr<Connection> self = weak.lock();
+            if (code || !self || self->m_closed) {
+                return;
+            }
+            self->m_timedOut = true;
+            boost::system::error_code ignored;
+            self->m_socket.cancel(ignored);
+        });
+    }
+
+    void connected(boost::system::error_code code)
+    {
+        if (code) {
+            finishWithError(code);
+            return;
+        }
+        m_connected = true;
+        boost::system::error_code ignored;
+        m_socket.set_option(Tcp::no_delay(true), ignored);
+        const unsigned int milliseconds = static_cast<unsigned int>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_client->m_settings.unacknowledgedTime).count());
+        ::setsockopt(
+            m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+        startTimer(m_call.deadline);
+        writeRequest();
+    }
+
+    void writeRequest()
+    {
+        m_phase = TransportCode::Broken;
+        const HttpRequest &request = m_call.request;
+        m_message = http::request<http::string_body>();
+        m_message.version(11);
+        m_message.method_string(request.method);
+        m_message.target(joinTarget(request));
+        m_message.set(http::field::host, m_address);
+        for (const auto &[name, value] : request.headers) {
+            m_message.set(name, value);
+        }
+        m_message.body() = request.body;
+        m_message.prepare_payload();
+        http::async_write(
+            m_socket, m_message, [self = shared_from_this()](boost::system::error_code code, std::size_t) {
+                if (code) {
+                    self->finishWithError(code);
+                    return;
+                }
+                self->readResponse();
+            });
+    }
+
+    void readResponse()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(MaximumResponseBytes);
+        http::async_read(m_socket,
+                         m_buffer,
+                         *m_parser,
+                         [self = shared_from_this()](boost::system::error_code code, std::size_t) {
+                             if (code) {
+                                 self->finishWithError(code);
+                                 return;
+                             }
+                             self->finish();
+                         });
+    }
+
+    void finish()
+    {
+        m_timer.cancel();
+        http::response<http::string_body> &message = m_parser->get();
+        HttpResponse response;
+        response.status = static_cast<int>(message.result_int());
+        for (const auto &field : message) {
+            response.headers.emplace(std::string(field.name_string()), std::string(field.value()));
+        }
+        response.body = std::move(message.body());
+        const bool keep = message.keep_alive();
+        const AsyncHttpCompletion done = std::move(m_call.done);
+        m_call = {};
+        m_parser.reset();
+        m_message = {};
+        if (keep) {
+            pool().idle.push_back(shared_from_this());
+            watchIdle();
+        } else {
+            close();
+        }
+        m_client->startWaiting(m_address);
+        done(std::move(response), {});
+    }
+
+    void finishWithError(boost::system::error_code code)
+    {
+        const bool nothingRead = !m_parser || !m_parser->got_some();
+        const bool stale = m_reused && nothingRead && !m_timedOut && m_call.request.method == "GET";
+        Call call = std::move(m_call);
+        m_call = {};
+        close();
+        if (stale) {
+            m_client->send(m_address, std::move(call));
+            return;
+        }
+        TransportError error{m_phase, m_address + ": " + code.message()};
+        if (m_timedOut && m_phase == TransportCode::Broken) {
+            error = {TransportCode::Timeout, m_address + ": no response in time"};
+        } else if (m_timedOut) {
+            error.reason = m_address + ": no connection in time";
+        }
+        m_client->closeIdle(m_address);
+        m_client->startWaiting(m_address);
+        call.done(std::nullopt, error);
+    }
+
+    std::shared_ptr<Implementation> m_client;
+    std::string m_address;
+    Tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_message;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    Call m_call;
+    /** What a failure at the present point means for the request. */
+    TransportCode m_phase = TransportCode::Unreachable;
+    bool m_connected = false;
+    bool m_reused = false;
+    bool m_idle = false;
+    bool m_timedOut = false;
+    bool m_closed = false;
+};
+
+void AsyncHttpClient::Implementation::fail(AsyncHttpCompletion done, TransportError error)
+{
+    asio::post(m_loop, [done = std::move(done), error = std::move(error)] {
+        done(std::nullopt, error);
+    });
+}
+
+void AsyncHttpClient::Implementation::send(const std::string &address, Call call)
+{
+    const std::optional<Tcp::endpoint> endpoint = parseAddress(address);
+    if (!endpoint) {
+        fail(std::move(call.done), {TransportCode::Unreachable, "expected IPv4:port, found " + address});
+        return;
+    }
+    Pool &pool = m_pools[address];
+    pool.endpoint = *endpoint;
+    if (pool.waiting.size() >= m_settings.waitingPerAddress) {
+        fail(std::move(call.done), {TransportCode::LimitExceeded, address + ": too many requests wait"});
+        return;
+    }
+    pool.waiting.push_back(std::move(call));
+    startWaiting(address);
+}
+
+void AsyncHttpClient::Implementation::startWaiting(const std::string &address)
+{
+    Pool &pool = m_pools[address];
+    while (!pool.waiting.empty()) {
+        if (pool.waiting.front().deadline <= std::chrono::steady_clock::now()) {
+            fail(std::move(pool.waiting.front().done),
+                 {TransportCode::Unreachable, address + ": no connection became free in time"});
+            pool.waiting.pop_front();
+            continue;
+        }
+        std::shared_ptr<Connection> connection;
+        if (!pool.idle.empty()) {
+            connection = pool.idle.back();
+            pool.idle.pop_back();
+        } else if (pool.open < m_settings.connectionsPerAddress) {
+            connection = std::make_shared<Connection>(shared_from_this(), address);
+        } else {
+            return;
+        }
+        Call call = std::move(pool.waiting.front());
+        pool.waiting.pop_front();
+        connection->start(std::move(call));
+    }
+}
+
+void AsyncHttpClient::Implementation::closeIdle(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found == m_pools.end()) {
+        return;
+    }
+    const std::vector<std::shared_ptr<Connection>> idle = found->second.idle;
+    for (const std::shared_ptr<Connection> &connection : idle) {
+        connection->close();
+    }
+    if (found->second.open == 0 && found->second.waiting.empty()) {
+        m_pools.erase(found);
+    }
+}
+
+AsyncHttpClient::AsyncHttpClient(asio::io_context &loop, Settings settings)
+    : m_implementation(std::make_shared<Implementation>(loop, settings))
+{
+}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::send(const std::string &address, HttpRequest request, Duration limit, AsyncHttpCompletion done)
+{
+    m_implementation->send(address,
+                           {std::move(request), std::chrono::steady_clock::now() + limit, std::move(done)});
+}
+
+void AsyncHttpClient::closeIdle(const std::string &address)
+{
+    m_implementation->closeIdle(address);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/lib/Workflow/JobEngine.cpp
@@ -0,0 +1,306 @@
+#include "corianderscale/Workflow/JobEngine.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+JobEngine::JobEngine(
+    EngineTimes times, Clock clock, Epoch epoch, WorkerOrders &orders, std::function<void()> wantsStorage)
+    : m_times(times)
+    , m_clock(std::move(clock))
+    , m_epoch(epoch)
+    , m_orders(orders)
+    , m_wantsStorage(std::move(wantsStorage))
+    , m_startedAt(m_clock.now())
+    , m_termConfirmedAt(m_startedAt)
+    , m_nextPlanAt(m_startedAt)
+{
+}
+
+JobEngine::~JobEngine() = default;
+
+void JobEngine::setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+{
+    m_catalogue = std::move(catalogue);
+    m_planWanted = true;
+}
+
+Job *JobEngine::findJob(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+int JobEngine::mostAttempts(const Job &job) const
+{
+    const QueueSpec *queue = m_catalogue ? m_catalogue->queue(job.spec.queue) : nullptr;
+    return queue == nullptr ? 1 : queue->mostAttempts;
+}
+
+void JobEngine::restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress)
+{
+    const JobId id = spec.id;
+    const MonotonicTime now = m_clock.now();
+    const auto [entry, added] = m_jobs.emplace(id, makeJob(std::move(spec), now));
+    if (!added) {
+        return;
+    }
+    Job &job = entry->second;
+    for (const auto &[occurrence, record] : progress) {
+        if (!restoreOccurrence(job, occurrence, record)) {
+            logEvent(LogLevel::Error,
+                     "progress-ignored",
+                     {{"job", id}, {"occurrence", occurrence}, {"reason", "the row does not match the job's steps"}});
+        }
+    }
+    job.state = job.started ? JobState::Running : JobState::Queued;
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+            for (std::size_t i = 0; i < job.occurrences[k].steps[s].size(); ++i) {
+                const Task &task = job.occurrences[k].steps[s][i];
+                if (task.phase != TaskPhase::Assigned) {
+                    continue;
+                }
+                Worker &worker = m_workers.all()[task.worker];
+                if (worker.report.id.empty()) {
+                    worker.report.id = task.worker;
+                    worker.report.incarnation = task.incarnation;
+                }
+                Run run;
+                run.task = {id, k, s, i};
+                run.number = task.run;
+                run.resources = job.spec.steps[s].perTask;
+                run.start = StartState::Unclear;
+                run.startSettledAt = now;
+                run.earlierTerm = true;
+                m_workers.addRun(worker, run);
+            }
+        }
+    }
+    logEvent(LogLevel::Info,
+             "job-restored",
+             {{"job", id}, {"state", jobStateName(job.state)}, {"epoch", m_epoch}, {"occurrences", progress.size()}});
+    finishIfDone(job);
+    m_planWanted = true;
+}
+
+void JobEngine::addJob(JobSpec spec)
+{
+    const JobId id = spec.id;
+    if (m_ended.count(id) > 0) {
+        return;
+    }
+    const auto [entry, added] = m_jobs.emplace(id, makeJob(std::move(spec), m_clock.now()));
+    if (!added) {
+        return;
+    }
+    const JobSpec &job = entry->second.spec;
+    logEvent(LogLevel::Info,
+             "job-learnt",
+             {{"job", id},
+              {"queue", job.queue},
+              {"organisation", job.organisation},
+              {"steps", job.steps.size()},
+              {"age_ms", toUnixMs(m_clock.wallNow()) - toUnixMs(job.acceptedAt)}});
+    m_planWanted = true;
+}
+
+void JobEngine::cancelJob(const JobId &id)
+{
+    Job *job = findJob(id);
+    if (job == nullptr || job->cancelled || isFinal(job->state)) {
+        return;
+    }
+    job->cancelled = true;
+    logEvent(LogLevel::Info, "job-cancelled", {{"job", id}, {"epoch", m_epoch}});
+    markState(*job, JobState::Cancelled);
+    stopJob(*job);
+    m_planWanted = true;
+}
+
+void JobEngine::markDirty(const TaskKey &key)
+{
+    Job *job = findJob(key.job);
+    if (job == nullptr) {
+        return;
+    }
+    job->occurrences[key.occurrence].dirty = true;
+    m_dirtyJobs.insert(key.job);
+}
+
+void JobEngine::markState(Job &job, JobState state)
+{
+    if (job.state == state) {
+        return;
+    }
+    job.state = state;
+    job.stateDirty = true;
+    m_dirtyJobs.insert(job.spec.id);
+}
+
+void JobEngine::finishIfDone(Job &job)
+{
+    if (isFinal(job.state)) {
+        return;
+    }
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+            if (!job.stepDone(k, s)) {
+                return;
+            }
+        }
+    }
+    markState(job, JobState::Completed);
+    logEvent(LogLevel::Info,
+             "job-completed",
+             {{"job", job.spec.id},
+              {"epoch", m_epoch},
+              {"age_ms", toUnixMs(m_clock.wallNow()) - toUnixMs(job.spec.acceptedAt)}});
+}
+
+void JobEngine::failJob(Job &job, const TaskKey &task)
+{
+    if (isFinal(job.state)) {
+        return;
+    }
+    markState(job, JobState::Failed);
+    logEvent(LogLevel::Info,
+             "job-failed",
+             {{"job", job.spec.id},
+              {"task", toString(task)},
+              {"failures", job.task(task).failures},
+              {"most_attempts", mostAttempts(job)}});
+    stopJob(job);
+}
+
+void JobEngine::stopJob(Job &job)
+{
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+            for (std::size_t i = 0; i < job.occurrences[k].steps[s].size(); ++i) {
+                const Task &task = job.occurrences[k].steps[s][i];
+                if (task.phase == TaskPhase::Assigned) {
+                    stopRun(task.worker, {TaskKey{job.spec.id, k, s, i}, task.run});
+                }
+            }
+        }
+    }
+}
+
+void JobEngine::addRowsOf(Job &job, EngineBatch &batch)
+{
+    const JobId &id = job.spec.id;
+    const bool over = isFinal(job.state) && !job.anyAssigned();
+    if (job.stateDirty) {
+        const StateRecord record{job.state, job.spec.queue, job.spec.organisation, m_clock.wallNow()};
+        batch.written.push_back({StatesTable, id.value(), encodeState(record), {}, false});
+        batch.removed.push_back({WaitingTable, waitingKey(job.spec.queue, id)});
+        job.stateDirty = false;
+    }
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        Occurrence &occurrence = job.occurrences[k];
+        if (over) {
+            batch.removed.push_back({ProgressTable, progressKey(id, k)});
+        } else if (occurrence.dirty) {
+            batch.written.push_back({ProgressTable, progressKey(id, k), encodeOccurrence(job.record(k)), {}, false});
+        }
+        occurrence.dirty = false;
+        batch.starts.insert(batch.starts.end(), occurrence.pendingStarts.begin(), occurrence.pendingStarts.end());
+        occurrence.pendingStarts.clear();
+    }
+    if (over) {
+        batch.removed.push_back({JobsTable, id.value()});
+        batch.removed.push_back({JobsTable, cancelKey(id)});
+    }
+}
+
+EngineBatch JobEngine::takeBatch(std::size_t mostRows)
+{
+    EngineBatch batch;
+    while (!m_dirtyJobs.empty() && batch.written.size() + batch.removed.size() < mostRows) {
+        const JobId id = *m_dirtyJobs.begin();
+        m_dirtyJobs.erase(m_dirtyJobs.begin());
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        Job &job = found->second;
+        addRowsOf(job, batch);
+        if (isFinal(job.state) && !job.anyAssigned()) {
+            m_ended.insert(id);
+            m_jobs.erase(found);
+        }
+    }
+    if (!m_dirtyJobs.empty()) {
+        return batch;
+    }
+    for (const WorkerId &id : m_workersWithEnds) {
+        if (const Worker *worker = m_workers.find(id)) {
+            batch.recorded[id] = worker->endsTaken;
+        }
+    }
+    m_workersWithEnds.clear();
+    return batch;
+}
+
+void JobEngine::batchStored(const EngineBatch &batch)
+{
+    const MonotonicTime now = m_clock.now();
+    for (const auto &[id, number] : batch.recorded) {
+        if (Worker *worker = m_workers.find(id)) {
+            worker->endsRecorded = std::max(worker->endsRecorded, number);
+            worker->nextHoldAt = std::min(worker->nextHoldAt, now);
+        }
+    }
+    for (const auto &[id, key] : batch.starts) {
+        Worker *worker = m_workers.find(id);
+        if (worker == nullptr) {
+            continue;
+        }
+        const auto run = worker->runs.find(key);
+        if (run != worker->runs.end() && run->second.start == StartState::NotSent) {
+            sendStart(*worker, run->second);
+        }
+    }
+}
+
+void JobEngine::termConfirmed(MonotonicTime sentAt)
+{
+    m_termConfirmedAt = std::max(m_termConfirmedAt, sentAt);
+}
+
+void JobEngine::step()
+{
+    const MonotonicTime now = m_clock.now();
+    expireLeases(now);
+    if (m_planWanted || now >= m_nextPlanAt) {
+        plan(now);
+    }
+    for (auto &[id, worker] : m_workers.all()) {
+        sendDueStops(worker, now);
+        sendDueHold(worker, now);
+    }
+    if (!m_dirtyJobs.empty() || !m_workersWithEnds.empty()) {
+        m_wantsStorage();
+    }
+}
+
+const WorkerBook &JobEngine::workers() const
+{
+    return m_workers;
+}
+
+const Job *JobEngine::job(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::size_t JobEngine::jobCount() const
+{
+    return m_jobs.size();
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -0,0 +1,364 @@
+#include "corianderscale/Support/Log.h"
+#include "corianderscale/Workflow/JobEngine.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Addition to the longest lease for clocks that run slow by 2%, and for timers. */
+constexpr Duration LeaseRounding = std::chrono::milliseconds(1200);
+
+const char *outcomeName(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::OtherIncarnation:
+        return "other-incarnation";
+    case OrderOutcome::Unreachable:
+        return "unreachable";
+    case OrderOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+const char *endKindName(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::LeaseLapsed:
+        return "lease-lapsed";
+    case EndKind::GangBroken:
+        return "gang-broken";
+    case EndKind::GangIncomplete:
+        return "gang-incomplete";
+    }
+    return "unknown";
+}
+
+OrderTarget JobEngine::targetOf(const Worker &worker) const
+{
+    return {worker.report.id, worker.report.address, worker.report.incarnation, m_epoch};
+}
+
+std::optional<WorkerClockMs> JobEngine::nextLease(Worker &worker)
+{
+    const MonotonicTime now = m_clock.now();
+    if (!worker.clock || now > m_termConfirmedAt + m_times.grantTime) {
+        return std::nullopt;
+    }
+    const std::int64_t leaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.lease).count();
+    const WorkerClockMs until = earliestClock(*worker.clock, now) + WorkerClockMs(leaseMs);
+    worker.leaseUntil = std::max(worker.leaseUntil, until);
+    worker.leaseGiven = true;
+    return until;
+}
+
+bool JobEngine::noteAnswer(Worker &worker, const OrderAnswer &answer)
+{
+    const MonotonicTime now = m_clock.now();
+    if (answer.outcome == OrderOutcome::Unreachable || answer.outcome == OrderOutcome::Unknown) {
+        if (++worker.silentCalls == 1) {
+            logEvent(LogLevel::Warning,
+                     "worker-silent",
+                     {{"worker", worker.report.id},
+                      {"outcome", outcomeName(answer.outcome)},
+                      {"reason", answer.reason},
+                      {"runs", worker.runs.size()}});
+        }
+        return false;
+    }
+    if (answer.outcome == OrderOutcome::OtherIncarnation) {
+        workerLost(worker, "another incarnation answers at its address");
+        worker.listed = false;
+        return false;
+    }
+    if (worker.silentCalls > 0) {
+        logEvent(LogLevel::Info,
+                 "worker-answers",
+                 {{"worker", worker.report.id}, {"silent_calls", worker.silentCalls}});
+        m_planWanted = true;
+    }
+    worker.silentCalls = 0;
+    worker.lastAnswerAt = now;
+    if (answer.clock) {
+        worker.clock = ClockSample{*answer.clock, now};
+    }
+    return true;
+}
+
+void JobEngine::sendStart(Worker &worker, Run &run)
+{
+    Job *job = findJob(run.task.job);
+    const RunKey key{run.task, run.number};
+    if (job == nullptr || run.stopWanted || !worker.listed || worker.silentCalls > 0) {
+        runGone(worker, key, "it was not sent");
+        if (job != nullptr && job->step(key.first).gang) {
+            stopGang(*job, key.first, key.second);
+        }
+        return;
+    }
+    const std::optional<WorkerClockMs> lease = nextLease(worker);
+    if (!lease) {
+        runGone(worker, key, "no lease may be given now");
+        return;
+    }
+    StartOrder order;
+    order.task = run.task;
+    order.run = run.number;
+    order.payload = job->spec.payload;
+    order.leaseUntil = *lease;
+    order.checkpoint = job->task(run.task).checkpoint;
+    run.start = StartState::Sent;
+    logEvent(LogLevel::Info,
+             "run-start-sent",
+             {{"task", toString(run.task)},
+              {"run", run.number},
+              {"worker", worker.report.id},
+              {"epoch", m_epoch},
+              {"resumes", !order.checkpoint.empty()}});
+    m_orders.start(targetOf(worker),
+                   order,
+                   [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, key](const OrderAnswer &answer) {
+                       if (alive.lock()) {
+                           startAnswered(id, key, answer);
+                       }
+                   });
+}
+
+void JobEngine::startAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer)
+{
+    Worker *worker = m_workers.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    noteAnswer(*worker, answer);
+    const auto found = worker->runs.find(key);
+    if (found == worker->runs.end()) {
+        return;
+    }
+    const MonotonicTime now = m_clock.now();
+    found->second.startSettledAt = now;
+    worker->nextHoldAt = std::min(worker->nextHoldAt, now);
+    if (answer.outcome == OrderOutcome::Done) {
+        found->second.start = StartState::Accepted;
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "run-start-not-done",
+             {{"task", toString(key.first)},
+              {"run", key.second},
+              {"worker", id},
+              {"outcome", outcomeName(answer.outcome)},
+              {"reason", answer.reason}});
+    if (answer.outcome == OrderOutcome::Unknown) {
+        found->second.start = StartState::Unclear;
+        return;
+    }
+    if (answer.outcome == OrderOutcome::Refused) {
+        worker->avoidedUntil = std::max(worker->avoidedUntil, now + m_times.unhealthyTime);
+    }
+    runGone(*worker, key, "the start was not done");
+    Job *job = findJob(key.first.job);
+    if (job != nullptr && job->step(key.first).gang) {
+        stopGang(*job, key.first, key.second);
+    }
+}
+
+void JobEngine::sendDueStops(Worker &worker, MonotonicTime now)
+{
+    std::vector<RunKey> neverSent;
+    for (auto &[key, run] : worker.runs) {
+        if (!run.stopWanted || run.stopInFlight || run.stopConfirmedAt || now < run.nextStopAt) {
+            continue;
+        }
+        if (run.start == StartState::NotSent) {
+            neverSent.push_back(key);
+            continue;
+        }
+        if (worker.report.address.empty()) {
+            continue;
+        }
+        run.stopInFlight = true;
+        m_orders.stop(
+            targetOf(worker),
+            {run.task, run.number},
+            [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, key = key](const OrderAnswer &answer) {
+                if (alive.lock()) {
+                    stopAnswered(id, key, answer);
+                }
+            });
+    }
+    for (const RunKey &key : neverSent) {
+        runGone(worker, key, "stopped before its start was sent");
+    }
+}
+
+void JobEngine::stopAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer)
+{
+    Worker *worker = m_workers.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    const bool answered = noteAnswer(*worker, answer);
+    const auto found = worker->runs.find(key);
+    if (found == worker->runs.end()) {
+        return;
+    }
+    Run &run = found->second;
+    const MonotonicTime now = m_clock.now();
+    run.stopInFlight = false;
+    if (answered && answer.outcome == OrderOutcome::Done) {
+        run.stopConfirmedAt = now;
+        worker->nextHoldAt = std::min(worker->nextHoldAt, now);
+        return;
+    }
+    run.nextStopAt = now + m_times.retryAfter;
+}
+
+bool JobEngine::holdDue(const Worker &worker, MonotonicTime now) const
+{
+    if (worker.holdInFlight || worker.report.address.empty() || now < worker.nextHoldAt) {
+        return false;
+    }
+    if (!worker.listed && worker.runs.empty()) {
+        return false;
+    }
+    return !worker.known || !worker.runs.empty() || worker.endsRecorded > worker.endsReported
+        || worker.silentCalls > 0;
+}
+
+void JobEngine::sendDueHold(Worker &worker, MonotonicTime now)
+{
+    if (!holdDue(worker, now)) {
+        return;
+    }
+    HoldOrder order;
+    order.recordedThrough = worker.endsRecorded;
+    const bool canWait = worker.known && !worker.runs.empty() && worker.silentCalls == 0;
+    if (canWait) {
+        order.wait = m_times.holdWait;
+    }
+    if (!worker.runs.empty()) {
+        order.leaseUntil = nextLease(worker);
+    }
+    worker.holdInFlight = true;
+    worker.holdSentAt = now;
+    m_orders.hold(
+        targetOf(worker),
+        order,
+        [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, recorded = order.recordedThrough](
+            const HoldAnswer &answer) {
+            if (!alive.lock()) {
+                return;
+            }
+            if (Worker *held = m_workers.find(id); held != nullptr && answer.outcome == OrderOutcome::Done) {
+                held->endsReported = std::max(held->endsReported, recorded);
+            }
+            holdAnswered(id, answer);
+        });
+}
+
+void JobEngine::holdAnswered(const WorkerId &id, const HoldAnswer &answer)
+{
+    Worker *worker = m_workers.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    const MonotonicTime now = m_clock.now();
+    worker->holdInFlight = false;
+    worker->nextHoldAt = now + m_times.retryAfter;
+    if (!noteAnswer(*worker, answer) || answer.outcome != OrderOutcome::Done) {
+        return;
+    }
+    if (answer.incarnation && *answer.incarnation != worker->report.incarnation) {
+        workerRestarted(*worker, *answer.incarnation);
+        worker->clock = answer.clock ? std::optional(ClockSample{*answer.clock, now}) : std::nullopt;
+    }
+    if (!worker->known) {
+        worker->known = true;
+        m_planWanted = true;
+        // Leases that an earlier owner gave before this answer end no later than this.
+        const std::int64_t leaseMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.longestLease).count();
+        worker->leaseUntil = std::max(worker->leaseUntil, answer.clock.value_or(WorkerClockMs()) + WorkerClockMs(leaseMs));
+        worker->leaseGiven = true;
+    }
+    takeEnds(*worker, answer.ended);
+    takeRunning(*worker, answer.running);
+    checkUnlisted(*worker, answer);
+    const bool endsOpen = worker->endsTaken > worker->endsRecorded;
+    worker->nextHoldAt = endsOpen ? now + m_times.storeWait : now;
+}
+
+void JobEngine::checkUnlisted(Worker &worker, const HoldAnswer &answer)
+{
+    const MonotonicTime now = m_clock.now();
+    const MonotonicTime sentAt = worker.holdSentAt;
+    std::set<RunKey> running;
+    for (const RunningTask &each : answer.running) {
+        running.emplace(each.task, each.run);
+    }
+    std::vector<RunKey> gone;
+    for (auto &[key, run] : worker.runs) {
+        const bool settled = run.start == StartState::Accepted || run.start == StartState::Unclear;
+        if (!settled || running.count(key) > 0 || run.startSettledAt > sentAt) {
+            continue;
+        }
+        if (run.earlierTerm || (run.stopConfirmedAt && *run.stopConfirmedAt <= sentAt)) {
+            gone.push_back(key);
+            continue;
+        }
+        if (run.start == StartState::Unclear && now - run.startSettledAt < m_times.unclearTime) {
+            continue;
+        }
+        if (!run.stopWanted) {
+            run.stopWanted = true;
+            run.nextStopAt = now;
+        }
+    }
+    for (const RunKey &key : gone) {
+        runGone(worker, key, "the worker does not list it and will refuse it");
+        Job *job = findJob(key.first.job);
+        if (job != nullptr && job->step(key.first).gang) {
+            stopGang(*job, key.first, key.second);
+        }
+    }
+}
+
+void JobEngine::expireLeases(MonotonicTime now)
+{
+    const MonotonicTime earlierTermsOver
+        = m_startedAt + m_times.grantTime + m_times.longestLease + LeaseRounding;
+    std::vector<WorkerId> gone;
+    for (auto &[id, worker] : m_workers.all()) {
+        if (worker.runs.empty()) {
+            if (!worker.listed && !worker.holdInFlight) {
+                gone.push_back(id);
+            }
+            continue;
+        }
+        const bool silent = worker.silentCalls > 0 || !worker.known;
+        const bool over = worker.leaseGiven ? leaseSurelyEnded(worker, now) : now > earlierTermsOver;
+        if (silent && over) {
+            workerLost(worker, "all its leases have ended");
+        }
+    }
+    for (const WorkerId &id : gone) {
+        m_workers.all().erase(id);
+    }
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -0,0 +1,286 @@
+#include "corianderscale/Support/Log.h"
+#include "corianderscale/Workflow/JobEngine.h"
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Failed runs in a row, of any tasks, after which a worker is avoided; one may be the task's own fault. */
+constexpr int FailuresBeforeAvoiding = 2;
+
+/** Forgets what was heard from an incarnation that is gone. */
+void resetSession(Worker &worker)
+{
+    worker.known = false;
+    worker.clock.reset();
+    worker.leaseGiven = false;
+    worker.leaseUntil = WorkerClockMs();
+    worker.endsTaken = 0;
+    worker.endsRecorded = 0;
+    worker.endsReported = 0;
+}
+
+} // namespace
+
+void JobEngine::runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint)
+{
+    m_workers.removeRun(worker, key);
+    m_planWanted = true;
+    Job *job = findJob(key.first.job);
+    if (job == nullptr) {
+        return;
+    }
+    const Task &task = job->task(key.first);
+    const bool current = task.phase == TaskPhase::Assigned && task.run == key.second
+        && task.worker == worker.report.id && task.incarnation == worker.report.incarnation;
+    if (current) {
+        taskEnded(*job, key.first, kind, checkpoint, worker.report.id);
+    }
+}
+
+void JobEngine::runGone(Worker &worker, const RunKey &key, const char *cause)
+{
+    logEvent(LogLevel::Info,
+             "run-gone",
+             {{"task", toString(key.first)}, {"run", key.second}, {"worker", worker.report.id}, {"cause", cause}});
+    runEnded(worker, key, EndKind::LeaseLapsed, {});
+}
+
+void JobEngine::taskEnded(
+    Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker)
+{
+    Task &task = job.task(key);
+    const StepSpec &step = job.step(key);
+    const std::int64_t run = task.run;
+    std::vector<Task> &members = job.occurrences[key.occurrence].steps[key.step];
+    markDirty(key);
+    if (kind == EndKind::Done && !step.longRunning) {
+        task.phase = TaskPhase::Done;
+        if (step.gang) {
+            for (Task &member : members) {
+                member.phase = TaskPhase::Done;
+            }
+        }
+        finishIfDone(job);
+        return;
+    }
+    task.phase = TaskPhase::Waiting;
+    task.waitingSince = m_clock.now();
+    if (!checkpoint.empty()) {
+        task.checkpoint = checkpoint;
+    }
+    if (kind == EndKind::Failed) {
+        countFailure(job, key, worker);
+    }
+    if (step.gang) {
+        stopGang(job, key, run);
+    }
+}
+
+void JobEngine::countFailure(Job &job, const TaskKey &key, const WorkerId &worker)
+{
+    const StepSpec &step = job.step(key);
+    std::vector<Task> &members = job.occurrences[key.occurrence].steps[key.step];
+    Task &task = job.task(key);
+    task.failedOn.insert(worker);
+    if (task.lastFailedRun == task.run) {
+        return;
+    }
+    const int failures = task.failures + 1;
+    const std::int64_t run = task.run;
+    if (step.gang) {
+        for (Task &member : members) {
+            member.failures = failures;
+            member.lastFailedRun = run;
+        }
+    } else {
+        task.failures = failures;
+        task.lastFailedRun = run;
+    }
+    if (!step.longRunning && failures >= mostAttempts(job)) {
+        failJob(job, key);
+    }
+}
+
+void JobEngine::stopGang(Job &job, const TaskKey &key, std::int64_t run)
+{
+    const std::size_t count = job.occurrences[key.occurrence].steps[key.step].size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const TaskKey memberKey{key.job, key.occurrence, key.step, i};
+        const Task &member = job.task(memberKey);
+        if (member.phase == TaskPhase::Assigned && member.run == run) {
+            stopRun(member.worker, {memberKey, run});
+        }
+    }
+}
+
+void JobEngine::stopRun(const WorkerId &id, const RunKey &key)
+{
+    Worker *worker = m_workers.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    const auto found = worker->runs.find(key);
+    if (found == worker->runs.end() || found->second.stopWanted) {
+        return;
+    }
+    found->second.stopWanted = true;
+    found->second.nextStopAt = m_clock.now();
+}
+
+void JobEngine::workerLost(Worker &worker, const char *cause)
+{
+    logEvent(LogLevel::Warning,
+             "worker-lost",
+             {{"worker", worker.report.id},
+              {"incarnation", worker.report.incarnation},
+              {"runs", worker.runs.size()},
+              {"cause", cause}});
+    while (!worker.runs.empty()) {
+        const RunKey key = worker.runs.begin()->first;
+        runGone(worker, key, cause);
+    }
+    resetSession(worker);
+}
+
+void JobEngine::workerRestarted(Worker &worker, Incarnation incarnation)
+{
+    logEvent(LogLevel::Warning,
+             "worker-restarted",
+             {{"worker", worker.report.id},
+              {"from", worker.report.incarnation},
+              {"to", incarnation},
+              {"runs", worker.runs.size()}});
+    std::vector<RunKey> gone;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.seenRunning) {
+            gone.push_back(key);
+        }
+    }
+    for (const RunKey &key : gone) {
+        runGone(worker, key, "its worker started again");
+    }
+    // A start order without an answer may have reached the new life, so the other runs are looked for there.
+    for (auto &[key, run] : worker.runs) {
+        Job *job = findJob(key.first.job);
+        if (job != nullptr && job->task(key.first).run == key.second) {
+            job->task(key.first).incarnation = incarnation;
+            markDirty(key.first);
+        }
+    }
+    resetSession(worker);
+    worker.report.incarnation = incarnation;
+}
+
+void JobEngine::reportWorker(const WorkerReport &report)
+{
+    const MonotonicTime now = m_clock.now();
+    Worker &worker = m_workers.all()[report.id];
+    const bool isNew = worker.report.id.empty() || worker.report.address.empty();
+    if (!worker.report.id.empty() && report.incarnation < worker.report.incarnation) {
+        return;
+    }
+    if (!worker.report.id.empty() && report.incarnation > worker.report.incarnation) {
+        workerRestarted(worker, report.incarnation);
+    }
+    const bool drainsNow = report.draining && !(worker.report.draining && worker.listed);
+    if (isNew || drainsNow) {
+        logEvent(LogLevel::Info,
+                 drainsNow ? "worker-draining" : "worker-learnt",
+                 {{"worker", report.id},
+                  {"address", report.address},
+                  {"rack", report.rack},
+                  {"incarnation", report.incarnation},
+                  {"runs", worker.runs.size()}});
+    }
+    worker.report = report;
+    if (!worker.listed) {
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now);
+    }
+    worker.listed = true;
+    m_planWanted = true;
+}
+
+void JobEngine::unlistWorker(const WorkerId &id)
+{
+    Worker *worker = m_workers.find(id);
+    if (worker == nullptr || !worker->listed) {
+        return;
+    }
+    worker->listed = false;
+    logEvent(LogLevel::Info, "worker-unlisted", {{"worker", id}, {"runs", worker->runs.size()}});
+    if (worker->runs.empty()) {
+        m_workers.all().erase(id);
+    }
+}
+
+void JobEngine::takeEnds(Worker &worker, const std::vector<EndedTask> &ends)
+{
+    for (const EndedTask &end : ends) {
+        if (end.number <= worker.endsTaken) {
+            continue;
+        }
+        worker.endsTaken = end.number;
+        m_workersWithEnds.insert(worker.report.id);
+        logEvent(LogLevel::Info,
+                 "run-ended",
+                 {{"task", toString(end.task)},
+                  {"run", end.run},
+                  {"worker", worker.report.id},
+                  {"kind", endKindName(end.kind)},
+                  {"end", end.number}});
+        if (end.kind == EndKind::Done) {
+            worker.failuresInRow = 0;
+        }
+        if (end.kind == EndKind::Failed && ++worker.failuresInRow >= FailuresBeforeAvoiding) {
+            worker.avoidedUntil = m_clock.now() + m_times.avoidTime;
+            logEvent(LogLevel::Warning,
+                     "worker-avoided",
+                     {{"worker", worker.report.id}, {"failures_in_row", worker.failuresInRow}});
+        }
+        runEnded(worker, {end.task, end.run}, end.kind, end.checkpoint);
+    }
+}
+
+void JobEngine::takeRunning(Worker &worker, const std::vector<RunningTask> &running)
+{
+    const MonotonicTime now = m_clock.now();
+    for (const RunningTask &each : running) {
+        const RunKey key{each.task, each.run};
+        auto found = worker.runs.find(key);
+        if (found == worker.runs.end()) {
+            Run orphan;
+            orphan.task = each.task;
+            orphan.number = each.run;
+            orphan.start = StartState::Accepted;
+            orphan.startSettledAt = now;
+            if (const Job *job = findJob(each.task.job); job != nullptr && each.task.step < job->spec.steps.size()) {
+                orphan.resources = job->step(each.task).perTask;
+            }
+            orphan.stopWanted = true;
+            orphan.nextStopAt = now;
+            m_workers.addRun(worker, orphan);
+            logEvent(LogLevel::Warning,
+                     "run-not-wanted",
+                     {{"task", toString(each.task)}, {"run", each.run}, {"worker", worker.report.id}});
+            continue;
+        }
+        Run &run = found->second;
+        if (!run.seenRunning) {
+            run.seenRunning = true;
+            run.runningSince = now;
+            run.progressedAt = now;
+        }
+        if (each.percent > run.percent) {
+            run.percent = each.percent;
+            run.progressedAt = now;
+        }
+        run.start = StartState::Accepted;
+        Job *job = findJob(each.task.job);
+        if (job != nullptr && !each.checkpoint.empty() && job->task(each.task).run == each.run) {
+            job->task(each.task).checkpoint = each.checkpoint;
+        }
+    }
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/JobIntake.cpp
@@ -0,0 +1,253 @@
+#include "corianderscale/Workflow/JobIntake.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Bounds of a job; far above what the deployments send, and within a stored row. */
+constexpr std::size_t MostSteps = 64;
+constexpr std::size_t MostTasks = 2000;
+constexpr std::size_t MostPayloadBytes = 4000;
+constexpr std::size_t MostOccurrences = 1000;
+
+std::optional<std::string> checkStep(const JobSpec &job, std::size_t index)
+{
+    const StepSpec &step = job.steps[index];
+    if (step.tasks == 0) {
+        return fmt::format("step {}: expected at least one task", index);
+    }
+    const bool negative = step.perTask.cores.count() < 0 || step.perTask.memory.count() < 0
+        || step.perTask.accelerators.count() < 0 || step.estimate < Duration(0);
+    if (negative) {
+        return fmt::format("step {}: expected amounts of at least 0", index);
+    }
+    const bool forward = std::any_of(step.after.begin(), step.after.end(), [index](std::size_t earlier) {
+        return earlier >= index;
+    });
+    if (forward) {
+        return fmt::format("step {}: may come only after earlier steps", index);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> checkJob(const JobSpec &job)
+{
+    if (job.steps.empty() || job.steps.size() > MostSteps) {
+        return fmt::format("expected 1 to {} steps", MostSteps);
+    }
+    if (job.payload.size() > MostPayloadBytes) {
+        return fmt::format("expected a payload of at most {} bytes", MostPayloadBytes);
+    }
+    if (job.occurrences > MostOccurrences) {
+        return fmt::format("expected at most {} occurrences", MostOccurrences);
+    }
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        if (const std::optional<std::string> fault = checkStep(job, i)) {
+            return fault;
+        }
+        tasks += std::min(job.steps[i].tasks, MostTasks + 1);
+    }
+    if (tasks > MostTasks) {
+        return fmt::format("expected at most {} tasks", MostTasks);
+    }
+    return std::nullopt;
+}
+
+std::optional<AdmittedCall> admitCall(const Catalogue *catalogue,
+                                      const std::string &host,
+                                      const std::string &path,
+                                      const std::string &credential,
+                                      CallAnswer &answer)
+{
+    if (catalogue == nullptr) {
+        answer = {CallOutcome::Refused, "no configuration is known yet", std::chrono::seconds(1), {}, {}};
+        return std::nullopt;
+    }
+    const QueueSpec *queue = catalogue->queueFor(host, path);
+    if (queue == nullptr) {
+        answer = {CallOutcome::NoSuchQueue, "no queue takes this host and path", {}, {}, {}};
+        return std::nullopt;
+    }
+    const OrganisationSpec *organisation = catalogue->holderOf(credential);
+    if (organisation == nullptr && !queue->open) {
+        answer = {CallOutcome::Unauthorized, "the credential is unknown", {}, {}, {}};
+        return std::nullopt;
+    }
+    return AdmittedCall{*queue, organisation == nullptr ? OrganisationId() : organisation->id};
+}
+
+/** A write for a caller, sent again until its outcome is known or its time is over. */
+struct JobIntake::Write {
+    const char *event = "";
+    JobId job;
+    RowChange change;
+    MonotonicTime deadline;
+    MonotonicTime startedAt;
+    CallDone done;
+    /** What a row that is there already means. */
+    CallOutcome onConflict = CallOutcome::Done;
+    /** Whether an earlier sending may have taken effect. */
+    bool unclear = false;
+    int sendings = 0;
+};
+
+JobIntake::JobIntake(Times times, Clock clock, RowStore &store)
+    : m_times(times)
+    , m_clock(std::move(clock))
+    , m_store(store)
+{
+}
+
+Duration JobIntake::limitUntil(MonotonicTime deadline) const
+{
+    return std::clamp(deadline - m_clock.now(), Duration(std::chrono::milliseconds(1)), m_times.callLimit);
+}
+
+void JobIntake::submit(const JobSpec &job, MonotonicTime deadline, CallDone done)
+{
+    const auto write = std::make_shared<Write>();
+    write->event = "job-submitted";
+    write->job = job.id;
+    write->deadline = deadline;
+    write->startedAt = m_clock.now();
+    write->done = std::move(done);
+    const StateRecord state{JobState::Queued, job.queue, job.organisation, job.acceptedAt};
+    write->change.expected = {{StatesTable, job.id.value(), RowVersion(0)}};
+    write->change.written = {{JobsTable, job.id.value(), encodeJob(job), {}, false},
+                             {StatesTable, job.id.value(), encodeState(state), {}, false},
+                             {WaitingTable, waitingKey(job.queue, job.id), "", {}, false}};
+    send(write);
+}
+
+void JobIntake::cancel(const JobId &job, MonotonicTime deadline, CallDone done)
+{
+    const auto forward = [this, job, deadline, done](const std::optional<RowPage> &page, const StateError &error) {
+        if (!page) {
+            done({CallOutcome::Refused, error.reason, m_times.retryAfter, {}, {}});
+            return;
+        }
+        ProtocolError decodeError;
+        const auto record = page->rows.empty() ? std::nullopt : decodeState(page->rows.front().value, decodeError);
+        if (!record) {
+            done({CallOutcome::NoSuchJob, "no such job", {}, {}, {}});
+            return;
+        }
+        if (isFinal(record->state)) {
+            done({CallOutcome::Done, jobStateName(record->state), {}, record->state, {}});
+            return;
+        }
+        const auto write = std::make_shared<Write>();
+        write->event = "cancel-requested";
+        write->job = job;
+        write->deadline = deadline;
+        write->startedAt = m_clock.now();
+        write->done = done;
+        write->change.written = {{JobsTable, cancelKey(job), "", {}, false}};
+        send(write);
+    };
+    m_store.read(StatesTable, job.value(), keyAfter(job.value()), limitUntil(deadline), forward);
+}
+
+void JobIntake::send(const std::shared_ptr<Write> &write)
+{
+    ++write->sendings;
+    m_store.change(write->change, limitUntil(write->deadline), [this, write](const ChangeResult &result) {
+        finish(write, result);
+    });
+}
+
+void JobIntake::finish(const std::shared_ptr<Write> &write, const ChangeResult &result)
+{
+    const MonotonicTime now = m_clock.now();
+    CallAnswer answer;
+    const bool timeLeft = now + m_times.callLimit / 2 < write->deadline;
+    switch (result.outcome) {
+    case ChangeOutcome::Committed:
+        break;
+    case ChangeOutcome::Conflict:
+        answer.outcome = write->onConflict;
+        answer.reason = "it is known already";
+        break;
+    case ChangeOutcome::NotDone:
+        // One more try at once; a refusal should not come late.
+        if (write->sendings < 2 || (write->unclear && timeLeft)) {
+            send(write);
+            return;
+        }
+        answer.outcome = write->unclear ? CallOutcome::Unclear : CallOutcome::Refused;
+        answer.reason = result.reason;
+        answer.retryAfter = m_times.retryAfter;
+        break;
+    case ChangeOutcome::Unknown:
+        write->unclear = true;
+        if (timeLeft) {
+            send(write);
+            return;
+        }
+        answer.outcome = CallOutcome::Unclear;
+        answer.reason = result.reason;
+        break;
+    }
+    logEvent(LogLevel::Info,
+             write->event,
+             {{"job", write->job},
+              {"stored", answer.outcome == CallOutcome::Done},
+              {"version", result.version},
+              {"sendings", write->sendings},
+              {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - write->startedAt).count()},
+              {"reason", answer.reason}});
+    write->done(answer);
+}
+
+void JobIntake::show(const JobId &job, MonotonicTime deadline, CallDone done)
+{
+    m_store.read(StatesTable,
+                 job.value(),
+                 keyAfter(job.value()),
+                 limitUntil(deadline),
+                 [this, done = std::move(done)](const std::optional<RowPage> &page, const StateError &error) {
+                     if (!page) {
+                         done({CallOutcome::Refused, error.reason, m_times.retryAfter, {}, {}});
+                         return;
+                     }
+                     if (page->rows.empty()) {
+                         done({CallOutcome::NoSuchJob, "no such job", {}, {}, {}});
+                         return;
+                     }
+                     ProtocolError decodeError;
+                     const auto record = decodeState(page->rows.front().value, decodeError);
+                     if (!record) {
+                         done({CallOutcome::Refused, decodeError.reason, m_times.retryAfter, {}, {}});
+                         return;
+                     }
+                     done({CallOutcome::Done, {}, {}, record->state, {}});
+                 });
+}
+
+void JobIntake::countWaiting(const QueueName &queue, MonotonicTime deadline, CallDone done)
+{
+    // '0' follows '/' in byte order, so this bounds the keys of the queue.
+    const std::string end = queue.value() + "0";
+    m_store.read(WaitingTable,
+                 waitingPrefix(queue),
+                 end,
+                 limitUntil(deadline),
+                 [this, done = std::move(done)](const std::optional<RowPage> &page, const StateError &error) {
+                     if (!page) {
+                         done({CallOutcome::Refused, error.reason, m_times.retryAfter, {}, {}});
+                         return;
+                     }
+                     done({CallOutcome::Done, {}, {}, {}, page->rows.size()});
+                 });
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/JobTable.cpp
@@ -0,0 +1,92 @@
+#include "corianderscale/Workflow/JobTable.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+OccurrenceRecord Job::record(std::size_t occurrence) const
+{
+    OccurrenceRecord record;
+    for (const std::vector<Task> &step : occurrences[occurrence].steps) {
+        record.emplace_back(step.begin(), step.end());
+    }
+    return record;
+}
+
+Task &Job::task(const TaskKey &key)
+{
+    return occurrences.at(key.occurrence).steps.at(key.step).at(key.index);
+}
+
+const StepSpec &Job::step(const TaskKey &key) const
+{
+    return spec.steps.at(key.step);
+}
+
+bool Job::stepDone(std::size_t occurrence, std::size_t step) const
+{
+    const std::vector<Task> &tasks = occurrences[occurrence].steps[step];
+    return std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Done;
+    });
+}
+
+bool Job::stepReady(std::size_t occurrence, std::size_t step) const
+{
+    const std::vector<std::size_t> &after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [this, occurrence](std::size_t earlier) {
+        return stepDone(occurrence, earlier);
+    });
+}
+
+bool Job::anyAssigned() const
+{
+    const auto assigned = [](const Task &task) {
+        return task.phase == TaskPhase::Assigned;
+    };
+    for (const Occurrence &occurrence : occurrences) {
+        for (const std::vector<Task> &step : occurrence.steps) {
+            if (std::any_of(step.begin(), step.end(), assigned)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+Job makeJob(JobSpec spec, MonotonicTime now)
+{
+    Job job;
+    Occurrence occurrence;
+    for (const StepSpec &step : spec.steps) {
+        Task task;
+        task.waitingSince = now;
+        occurrence.steps.emplace_back(step.tasks, task);
+    }
+    job.occurrences.assign(std::max<std::size_t>(spec.occurrences, 1), occurrence);
+    job.spec = std::move(spec);
+    job.seenAt = now;
+    return job;
+}
+
+bool restoreOccurrence(Job &job, std::size_t occurrence, const OccurrenceRecord &record)
+{
+    if (occurrence >= job.occurrences.size() || record.size() != job.spec.steps.size()) {
+        return false;
+    }
+    for (std::size_t step = 0; step < record.size(); ++step) {
+        if (record[step].size() != job.spec.steps[step].tasks) {
+            return false;
+        }
+    }
+    for (std::size_t step = 0; step < record.size(); ++step) {
+        for (std::size_t index = 0; index < record[step].size(); ++index) {
+            Task &task = job.occurrences[occurrence].steps[step][index];
+            static_cast<TaskRecord &>(task) = record[step][index];
+            job.started = job.started || task.run > 0;
+        }
+    }
+    return true;
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -0,0 +1,226 @@
+#include "corianderscale/Workflow/NodeDaemon.h"
+
+#include "corianderscale/Daemon/CommandLine.h"
+#include "corianderscale/Support/Log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Part of the longest lease that is given; the rest covers orders that take long to arrive. */
+constexpr int LeasePercent = 85;
+/** After SIGTERM calls are still taken this long, until the balancer has seen two failed readiness checks. */
+constexpr Duration DrainTime = std::chrono::milliseconds(2800);
+/** The process ends this long before SIGKILL at the latest. */
+constexpr Duration ExitMargin = std::chrono::milliseconds(500);
+constexpr Duration DrainStep = std::chrono::milliseconds(50);
+/** Without the store for this long the instance is not ready, because it can accept no job. */
+constexpr Duration StoreAwayTime = std::chrono::milliseconds(1000);
+
+} // namespace
+
+class NodeDaemon::Implementation : public NodeView
+{
+public:
+    Implementation(NodeSettings settings, Clock clock, const MakeBinding &makeBinding)
+        : m_settings(std::move(settings))
+        , m_clock(std::move(clock))
+        , m_binding(makeBinding(m_loop, m_settings, m_clock))
+        , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
+        , m_drainTimer(m_loop)
+        , m_intake({}, m_clock, *m_binding.store)
+        , m_owner(m_loop,
+                  ownerTimes(m_settings),
+                  m_clock,
+                  InstanceId(m_settings.instance + "/" + randomHex(6)),
+                  *m_binding.store,
+                  *m_binding.orders,
+                  m_binding.discovery)
+        , m_configuration(m_loop, *m_binding.store, followerSettings(m_binding), followerHooks())
+        , m_front(m_binding.makeFront(*this))
+    {
+    }
+
+    int run()
+    {
+        TransportError error;
+        if (!m_front->listen(m_settings.callerListen, m_settings.readinessListen, error)) {
+            logEvent(LogLevel::Error, "listen-failed", {{"reason", error.reason}});
+            return ExitFailed;
+        }
+        logEvent(LogLevel::Info,
+                 "started",
+                 {{"data_centre", m_settings.dataCentre},
+                  {"callers", m_settings.callerListen},
+                  {"store", m_settings.store},
+                  {"version", CORIANDER_VERSION}});
+        waitForSignal();
+        m_configuration.start();
+        m_owner.start();
+        m_loop.run();
+        logEvent(LogLevel::Info, "stopped", {{"requests_open", m_front->requestsInProgress()}});
+        return ExitSuccess;
+    }
+
+    const Catalogue *catalogue() const override
+    {
+        return m_catalogue.get();
+    }
+
+    JobIntake &intake() override
+    {
+        return m_intake;
+    }
+
+    bool ready() const override
+    {
+        const bool storeAway = m_storeAwaySince != NeverDue && m_clock.now() - m_storeAwaySince > StoreAwayTime;
+        return m_catalogue != nullptr && !m_drainDeadline && !storeAway;
+    }
+
+    const Clock &clock() const override
+    {
+        return m_clock;
+    }
+
+private:
+    static OwnerTimes ownerTimes(const NodeSettings &settings)
+    {
+        OwnerTimes times;
+        times.engine.longestLease = settings.longestLease;
+        times.engine.lease = settings.longestLease * LeasePercent / 100;
+        return times;
+    }
+
+    static TableFollower::Settings followerSettings(const PlatformBinding &binding)
+    {
+        TableFollower::Settings settings;
+        settings.table = binding.configuration.table;
+        settings.from = binding.configuration.key;
+        settings.to = keyAfter(binding.configuration.key);
+        return settings;
+    }
+
+    TableFollower::Hooks followerHooks()
+    {
+        const auto take = [this](const std::vector<Row> &rows) {
+            for (const Row &row : rows) {
+                takeConfiguration(row);
+            }
+        };
+        return {take, take, [this](bool reachable, const std::string &reason) {
+                    noteStore(reachable, reason);
+                }};
+    }
+
+    void takeConfiguration(const Row &row)
+    {
+        if (row.key != m_binding.configuration.key || row.removed) {
+            return;
+        }
+        ProtocolError error;
+        const std::optional<Catalogue> catalogue = m_binding.configuration.decode(row.value, error);
+        if (!catalogue) {
+            logEvent(LogLevel::Error,
+                     "configuration-ignored",
+                     {{"row_version", row.version}, {"reason", error.reason}});
+            return;
+        }
+        if (m_catalogue && catalogue->version <= m_catalogue->version) {
+            return;
+        }
+        m_catalogue = std::make_shared<const Catalogue>(*catalogue);
+        logEvent(LogLevel::Info,
+                 "configuration-in-force",
+                 {{"configuration", m_catalogue->version},
+                  {"queues", m_catalogue->queues.size()},
+                  {"organisations", m_catalogue->organisations.size()}});
+        m_front->setLimits(m_catalogue->limits);
+        m_owner.setCatalogue(m_catalogue);
+    }
+
+    void noteStore(bool reachable, const std::string &reason)
+    {
+        m_storeAwaySince = reachable ? NeverDue : m_clock.now();
+        logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
+                 reachable ? "store-regained" : "store-lost",
+                 {{"reason", reason}});
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code code, int signal) {
+            if (code) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                logEvent(LogLevel::Info, "reload-requested", {{"effect", "addresses stay until the next start"}});
+                waitForSignal();
+                return;
+            }
+            startDraining();
+        });
+    }
+
+    void startDraining()
+    {
+        const MonotonicTime now = m_clock.now();
+        m_drainUntil = now + std::min(DrainTime, m_settings.grace / 2);
+        m_drainDeadline = now + std::max(m_settings.grace - ExitMargin, m_settings.grace / 2);
+        logEvent(LogLevel::Info, "draining", {{"requests_open", m_front->requestsInProgress()}});
+        m_front->startDraining();
+        m_owner.retire();
+        drainStep();
+    }
+
+    void drainStep()
+    {
+        const MonotonicTime now = m_clock.now();
+        const bool idle = m_front->requestsInProgress() == 0 && m_owner.retired();
+        if ((now >= m_drainUntil && idle) || now >= *m_drainDeadline) {
+            m_front->closeIdle();
+            m_loop.stop();
+            return;
+        }
+        m_drainTimer.expires_after(DrainStep);
+        m_drainTimer.async_wait([this](boost::system::error_code code) {
+            if (!code) {
+                drainStep();
+            }
+        });
+    }
+
+    NodeSettings m_settings;
+    Clock m_clock;
+    boost::asio::io_context m_loop{1};
+    PlatformBinding m_binding;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_drainTimer;
+    std::shared_ptr<const Catalogue> m_catalogue;
+    MonotonicTime m_storeAwaySince = NeverDue;
+    MonotonicTime m_drainUntil = NeverDue;
+    std::optional<MonotonicTime> m_drainDeadline;
+    JobIntake m_intake;
+    OwnerDuty m_owner;
+    TableFollower m_configuration;
+    std::unique_ptr<CallerFront> m_front;
+};
+
+NodeDaemon::NodeDaemon(NodeSettings settings, Clock clock, const MakeBinding &makeBinding)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings), std::move(clock), makeBinding))
+{
+}
+
+NodeDaemon::~NodeDaemon() = default;
+
+int NodeDaemon::run()
+{
+    return m_implementation->run();
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/OwnerDuty.cpp
@@ -0,0 +1,375 @@
+#include "corianderscale/Workflow/OwnerDuty.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <set>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** The platform takes 100 entries in a transaction; a job may add several beyond the bound. */
+constexpr std::size_t MostRowsPerBatch = 60;
+
+/** Splits a progress key; no value for a foreign key. */
+std::optional<std::pair<JobId, std::size_t>> parseProgressKey(const std::string &key)
+{
+    const std::size_t dot = key.rfind('.');
+    if (dot == std::string::npos) {
+        return std::nullopt;
+    }
+    std::size_t occurrence = 0;
+    const char *end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data() + dot + 1, end, occurrence);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return std::pair(JobId(key.substr(0, dot)), occurrence);
+}
+
+void logBadRow(const Row &row, const std::string &reason)
+{
+    logEvent(LogLevel::Error,
+             "row-ignored",
+             {{"table", row.table}, {"key", row.key}, {"version", row.version}, {"reason", reason}});
+}
+
+} // namespace
+
+OwnerDuty::OwnerDuty(boost::asio::io_context &loop,
+                     OwnerTimes times,
+                     Clock clock,
+                     InstanceId instance,
+                     RowStore &store,
+                     WorkerOrders &orders,
+                     DiscoverySource discovery)
+    : m_loop(loop)
+    , m_times(times)
+    , m_clock(std::move(clock))
+    , m_store(store)
+    , m_orders(orders)
+    , m_discovery(std::move(discovery))
+    , m_timer(loop)
+    , m_chain(times.term,
+              m_clock,
+              std::move(instance),
+              store,
+              {[this](Epoch epoch) {
+                   won(epoch);
+               },
+               [this](const std::string &reason) {
+                   lost(reason);
+               },
+               [this] {
+                   return nextChange();
+               },
+               [this] {
+                   changeStored();
+               },
+               [this](MonotonicTime sentAt) {
+                   if (m_engine) {
+                       m_engine->termConfirmed(sentAt);
+                   }
+               },
+               [this] {
+                   return m_catalogue != nullptr;
+               }})
+{
+}
+
+OwnerDuty::~OwnerDuty() = default;
+
+void OwnerDuty::start()
+{
+    armTimer(Duration(0));
+}
+
+void OwnerDuty::setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+{
+    m_catalogue = std::move(catalogue);
+    if (m_engine) {
+        m_engine->setCatalogue(m_catalogue);
+    }
+}
+
+void OwnerDuty::retire()
+{
+    m_retired = true;
+    m_resumeAt = NeverDue;
+    m_chain.release("this process ends");
+}
+
+bool OwnerDuty::retired() const
+{
+    return !m_chain.owned() && !m_chain.releasing();
+}
+
+const JobEngine *OwnerDuty::engine() const
+{
+    return m_restored ? m_engine.get() : nullptr;
+}
+
+std::optional<Epoch> OwnerDuty::epoch() const
+{
+    return m_chain.owned();
+}
+
+void OwnerDuty::won(Epoch epoch)
+{
+    m_engine = std::make_unique<JobEngine>(m_times.engine, m_clock, epoch, m_orders, [this] {
+        m_chain.step();
+    });
+    m_engine->setCatalogue(m_catalogue);
+    m_restored = false;
+    m_progress.clear();
+    m_isolatedSince = NeverDue;
+    TableFollower::Settings progress;
+    progress.table = ProgressTable;
+    m_progressReader.emplace(m_loop,
+                             m_store,
+                             progress,
+                             TableFollower::Hooks{[this](const std::vector<Row> &rows) {
+                                                      progressRead(rows);
+                                                  },
+                                                  [](const std::vector<Row> &) {
+                                                  },
+                                                  {}});
+    m_progressReader->start();
+}
+
+void OwnerDuty::progressRead(const std::vector<Row> &rows)
+{
+    if (!m_engine) {
+        return;
+    }
+    for (const Row &row : rows) {
+        ProtocolError error;
+        const auto key = parseProgressKey(row.key);
+        const std::optional<OccurrenceRecord> record = decodeOccurrence(row.value, error);
+        if (!key || !record) {
+            logBadRow(row, key ? error.reason : "expected a key of job and occurrence");
+            continue;
+        }
+        m_progress[key->first][key->second] = *record;
+    }
+    TableFollower::Settings jobs;
+    jobs.table = JobsTable;
+    m_jobsFollower.emplace(m_loop,
+                           m_store,
+                           jobs,
+                           TableFollower::Hooks{[this](const std::vector<Row> &all) {
+                                                    jobsRead(all);
+                                                },
+                                                [this](const std::vector<Row> &changed) {
+                                                    jobsChanged(changed);
+                                                },
+                                                {}});
+    m_jobsFollower->start();
+    // The reader is in a call to this function, so it is ended later.
+    boost::asio::post(m_loop, [this] {
+        m_progressReader.reset();
+    });
+}
+
+void OwnerDuty::takeJobRow(const Row &row)
+{
+    ProtocolError error;
+    std::optional<JobSpec> job = decodeJob(row.value, error);
+    if (!job) {
+        logBadRow(row, error.reason);
+        return;
+    }
+    const auto progress = m_progress.find(job->id);
+    if (!m_restored && progress != m_progress.end()) {
+        m_engine->restoreJob(std::move(*job), progress->second);
+        return;
+    }
+    m_engine->addJob(std::move(*job));
+}
+
+void OwnerDuty::jobsRead(const std::vector<Row> &rows)
+{
+    if (!m_engine) {
+        return;
+    }
+    jobsChanged(rows);
+    if (m_restored) {
+        return;
+    }
+    m_restored = true;
+    m_progress.clear();
+    logEvent(LogLevel::Info,
+             "state-restored",
+             {{"epoch", m_chain.owned().value_or(Epoch())}, {"jobs", m_engine->jobCount()}});
+    TableFollower::Settings workers;
+    workers.table = m_discovery.table;
+    workers.wait = Duration(0);
+    workers.pause = m_times.discoveryEvery;
+    m_workersFollower.emplace(m_loop,
+                              m_store,
+                              workers,
+                              TableFollower::Hooks{[this](const std::vector<Row> &all) {
+                                                       workersRead(all);
+                                                   },
+                                                   [this](const std::vector<Row> &changed) {
+                                                       workersChanged(changed);
+                                                   },
+                                                   {}});
+    m_workersFollower->start();
+}
+
+void OwnerDuty::jobsChanged(const std::vector<Row> &rows)
+{
+    if (!m_engine) {
+        return;
+    }
+    for (const Row &row : rows) {
+        if (!row.removed && !cancelledJob(row.key)) {
+            takeJobRow(row);
+        }
+    }
+    for (const Row &row : rows) {
+        const std::optional<JobId> cancelled = cancelledJob(row.key);
+        if (!row.removed && cancelled) {
+            m_engine->cancelJob(*cancelled);
+        }
+    }
+    m_engine->step();
+}
+
+void OwnerDuty::workersRead(const std::vector<Row> &rows)
+{
+    if (!m_engine) {
+        return;
+    }
+    std::set<WorkerId> listed;
+    for (const Row &row : rows) {
+        listed.insert(WorkerId(row.key));
+    }
+    std::vector<WorkerId> missing;
+    for (const auto &[id, worker] : m_engine->workers().all()) {
+        if (worker.listed && listed.count(id) == 0) {
+            missing.push_back(id);
+        }
+    }
+    for (const WorkerId &id : missing) {
+        m_engine->unlistWorker(id);
+    }
+    workersChanged(rows);
+}
+
+void OwnerDuty::workersChanged(const std::vector<Row> &rows)
+{
+    if (!m_engine) {
+        return;
+    }
+    for (const Row &row : rows) {
+        if (row.removed) {
+            m_engine->unlistWorker(WorkerId(row.key));
+            continue;
+        }
+        ProtocolError error;
+        const std::optional<WorkerReport> report = m_discovery.decode(row, error);
+        if (!report) {
+            logBadRow(row, error.reason);
+            m_engine->unlistWorker(WorkerId(row.key));
+            continue;
+        }
+        m_engine->reportWorker(*report);
+    }
+    m_engine->step();
+}
+
+std::optional<RowChange> OwnerDuty::nextChange()
+{
+    if (!m_engine || !m_restored) {
+        return std::nullopt;
+    }
+    EngineBatch batch = m_engine->takeBatch(MostRowsPerBatch);
+    if (batch.written.empty() && batch.removed.empty()) {
+        if (!batch.recorded.empty()) {
+            m_engine->batchStored(batch);
+        }
+        return std::nullopt;
+    }
+    RowChange change;
+    change.written = batch.written;
+    change.removed = batch.removed;
+    m_batch = std::move(batch);
+    return change;
+}
+
+void OwnerDuty::changeStored()
+{
+    const std::optional<EngineBatch> batch = std::exchange(m_batch, std::nullopt);
+    if (m_engine && batch) {
+        m_engine->batchStored(*batch);
+        m_engine->step();
+    }
+}
+
+void OwnerDuty::lost(const std::string &)
+{
+    m_batch.reset();
+    m_restored = false;
+    // The engine or a follower may be in a call to this function, so they are ended later.
+    boost::asio::post(m_loop, [this, engine = std::shared_ptr<JobEngine>(std::move(m_engine))] {
+        m_progressReader.reset();
+        m_jobsFollower.reset();
+        m_workersFollower.reset();
+    });
+}
+
+void OwnerDuty::armTimer(Duration pause)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this](boost::system::error_code code) {
+        if (!code) {
+            step();
+        }
+    });
+}
+
+void OwnerDuty::step()
+{
+    const MonotonicTime now = m_clock.now();
+    if (m_engine && m_restored) {
+        m_engine->step();
+        checkIsolation(now);
+    }
+    if (now >= m_resumeAt) {
+        m_resumeAt = NeverDue;
+        m_chain.resume();
+    }
+    m_chain.step();
+    armTimer(m_times.stepEvery);
+}
+
+void OwnerDuty::checkIsolation(MonotonicTime now)
+{
+    std::size_t silent = 0;
+    std::size_t listed = 0;
+    for (const auto &[id, worker] : m_engine->workers().all()) {
+        listed += worker.listed ? 1 : 0;
+        silent += worker.listed && worker.silentCalls > 0 ? 1 : 0;
+    }
+    if (silent * 2 <= listed) {
+        m_isolatedSince = NeverDue;
+        return;
+    }
+    if (m_isolatedSince == NeverDue) {
+        m_isolatedSince = now;
+    }
+    if (now - m_isolatedSince < m_times.isolatedTime) {
+        return;
+    }
+    m_isolatedSince = NeverDue;
+    m_resumeAt = m_retired ? NeverDue : now + m_times.isolatedPause;
+    logEvent(LogLevel::Warning, "owner-isolated", {{"silent", silent}, {"workers", listed}});
+    m_chain.release("most workers do not answer");
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/Reclaim.cpp
@@ -0,0 +1,131 @@
+#include "corianderscale/Workflow/Reclaim.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+namespace {
+
+struct Candidate {
+    const Worker *worker = nullptr;
+    /** Free room, with what is being stopped and the victims chosen so far. */
+    decision::Resources room;
+    /** Runs that may be stopped, cheapest first, without those chosen. */
+    std::vector<std::pair<double, const Run *>> victims;
+};
+
+/** What one more task on a worker costs. */
+struct Step {
+    double cost = 0;
+    std::size_t victims = 0;
+};
+
+std::vector<Candidate>
+candidatesFor(const WorkerBook &workers, const PlacementNeed &need, const FreeRoom &room, const VictimCost &costOf)
+{
+    std::vector<Candidate> candidates;
+    for (const auto &[id, worker] : workers.all()) {
+        const auto free = room.find(id);
+        if (free == room.end() || !eligible(worker, need)) {
+            continue;
+        }
+        Candidate candidate{&worker, free->second, {}};
+        for (const auto &[key, run] : worker.runs) {
+            if (run.stopWanted) {
+                candidate.room = plus(candidate.room, run.resources);
+                continue;
+            }
+            const std::optional<double> cost = costOf(worker, run);
+            if (cost) {
+                candidate.victims.emplace_back(*cost, &run);
+            }
+        }
+        std::sort(candidate.victims.begin(), candidate.victims.end(), [](const auto &left, const auto &right) {
+            return left.first < right.first;
+        });
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+std::optional<Step> oneMore(const Candidate &candidate, const decision::Resources &size)
+{
+    Step step;
+    decision::Resources room = candidate.room;
+    while (!fitsInto(size, room)) {
+        if (step.victims == candidate.victims.size()) {
+            return std::nullopt;
+        }
+        const auto &[cost, run] = candidate.victims[step.victims];
+        step.cost += cost;
+        room = plus(room, run->resources);
+        ++step.victims;
+    }
+    return step;
+}
+
+void take(Candidate &candidate, const Step &step, const decision::Resources &size, ReclaimPlan &plan)
+{
+    for (std::size_t i = 0; i < step.victims; ++i) {
+        const Run &run = *candidate.victims[i].second;
+        candidate.room = plus(candidate.room, run.resources);
+        plan.victims.emplace_back(candidate.worker->report.id, RunKey{run.task, run.number});
+    }
+    candidate.victims.erase(candidate.victims.begin(),
+                            candidate.victims.begin() + static_cast<std::ptrdiff_t>(step.victims));
+    candidate.room = minus(candidate.room, size);
+    plan.workers.push_back(candidate.worker->report.id);
+    plan.cost += step.cost;
+}
+
+std::optional<ReclaimPlan> planWithin(std::vector<Candidate> candidates, const PlacementNeed &need)
+{
+    ReclaimPlan plan;
+    for (std::size_t i = 0; i < need.tasks; ++i) {
+        Candidate *best = nullptr;
+        Step bestStep;
+        for (Candidate &candidate : candidates) {
+            const std::optional<Step> step = oneMore(candidate, need.perTask);
+            const bool better = step
+                && (best == nullptr || step->cost < bestStep.cost
+                    || (step->cost == bestStep.cost
+                        && candidate.room.accelerators.count() < best->room.accelerators.count()));
+            if (better) {
+                best = &candidate;
+                bestStep = *step;
+            }
+        }
+        if (best == nullptr) {
+            return std::nullopt;
+        }
+        take(*best, bestStep, need.perTask, plan);
+    }
+    return plan;
+}
+
+} // namespace
+
+std::optional<ReclaimPlan> planReclaim(const WorkerBook &workers,
+                                       const PlacementNeed &need,
+                                       const FreeRoom &room,
+                                       const VictimCost &costOf)
+{
+    const std::vector<Candidate> candidates = candidatesFor(workers, need, room, costOf);
+    if (!need.sameRack) {
+        return planWithin(candidates, need);
+    }
+    std::map<RackId, std::vector<Candidate>> racks;
+    for (const Candidate &candidate : candidates) {
+        racks[candidate.worker->report.rack].push_back(candidate);
+    }
+    std::optional<ReclaimPlan> best;
+    for (auto &[rack, inRack] : racks) {
+        std::optional<ReclaimPlan> plan = planWithin(std::move(inRack), need);
+        if (plan && (!best || plan->cost < best->cost)) {
+            best = std::move(plan);
+        }
+    }
+    return best ? best : planWithin(candidates, need);
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/TableFollower.cpp
@@ -0,0 +1,163 @@
+#include "corianderscale/Workflow/TableFollower.h"
+
+namespace coriander::workflow {
+
+class TableFollower::Implementation : public std::enable_shared_from_this<TableFollower::Implementation>
+{
+public:
+    Implementation(boost::asio::io_context &loop, RowStore &store, Settings settings, Hooks hooks)
+        : m_timer(loop)
+        , m_store(store)
+        , m_settings(std::move(settings))
+        , m_hooks(std::move(hooks))
+    {
+    }
+
+    void startSnapshot()
+    {
+        m_rows.clear();
+        m_from = m_settings.from;
+        m_hasVersion = false;
+        readPage();
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_timer.cancel();
+    }
+
+private:
+    void readPage()
+    {
+        m_store.read(m_settings.table,
+                     m_from,
+                     m_settings.to,
+                     m_settings.callLimit,
+                     [weak = weak_from_this()](const std::optional<RowPage> &page, const StateError &error) {
+                         const std::shared_ptr<Implementation> self = weak.lock();
+                         if (self && !self->m_stopped) {
+                             self->pageRead(page, error);
+                         }
+                     });
+    }
+
+    void pageRead(const std::optional<RowPage> &page, const StateError &error)
+    {
+        if (!page) {
+            noteReachable(false, error.reason);
+            // Starts over, so that the first page's version is not older than the store's history.
+            after(m_settings.retryAfter, [this] {
+                startSnapshot();
+            });
+            return;
+        }
+        noteReachable(true, {});
+        if (!m_hasVersion) {
+            m_version = page->version;
+            m_hasVersion = true;
+        }
+        m_rows.insert(m_rows.end(), page->rows.begin(), page->rows.end());
+        if (page->hasMore && !page->rows.empty()) {
+            m_from = keyAfter(page->rows.back().key);
+            readPage();
+            return;
+        }
+        const std::vector<Row> rows = std::move(m_rows);
+        m_rows.clear();
+        m_hooks.snapshot(rows);
+        follow();
+    }
+
+    void follow()
+    {
+        if (m_stopped) {
+            return;
+        }
+        m_store.follow(m_settings.table,
+                       m_version,
+                       m_settings.wait,
+                       m_settings.wait + m_settings.callLimit,
+                       [weak = weak_from_this()](const std::optional<RowPage> &page, const StateError &error) {
+                           const std::shared_ptr<Implementation> self = weak.lock();
+                           if (self && !self->m_stopped) {
+                               self->followed(page, error);
+                           }
+                       });
+    }
+
+    void followed(const std::optional<RowPage> &page, const StateError &error)
+    {
+        if (!page && error.code == StateCode::NotFound) {
+            startSnapshot();
+            return;
+        }
+        if (!page) {
+            noteReachable(false, error.reason);
+            after(m_settings.retryAfter, [this] {
+                follow();
+            });
+            return;
+        }
+        noteReachable(true, {});
+        m_version = std::max(m_version, page->version);
+        if (!page->rows.empty()) {
+            m_hooks.changed(page->rows);
+        }
+        if (m_settings.pause > Duration(0)) {
+            after(m_settings.pause, [this] {
+                follow();
+            });
+            return;
+        }
+        follow();
+    }
+
+    void noteReachable(bool reachable, const std::string &reason)
+    {
+        if (reachable == m_reachable || !m_hooks.reachable) {
+            return;
+        }
+        m_reachable = reachable;
+        m_hooks.reachable(reachable, reason);
+    }
+
+    void after(Duration pause, std::function<void()> next)
+    {
+        m_timer.expires_after(pause);
+        m_timer.async_wait([weak = weak_from_this(), next = std::move(next)](boost::system::error_code code) {
+            const std::shared_ptr<Implementation> self = weak.lock();
+            if (!code && self && !self->m_stopped) {
+                next();
+            }
+        });
+    }
+
+    boost::asio::steady_timer m_timer;
+    RowStore &m_store;
+    Settings m_settings;
+    Hooks m_hooks;
+    std::string m_from;
+    std::vector<Row> m_rows;
+    RowVersion m_version;
+    bool m_hasVersion = false;
+    bool m_reachable = true;
+    bool m_stopped = false;
+};
+
+TableFollower::TableFollower(boost::asio::io_context &loop, RowStore &store, Settings settings, Hooks hooks)
+    : m_implementation(std::make_shared<Implementation>(loop, store, std::move(settings), std::move(hooks)))
+{
+}
+
+TableFollower::~TableFollower()
+{
+    m_implementation->stop();
+}
+
+void TableFollower::start()
+{
+    m_implementation->startSnapshot();
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/TermChain.cpp
@@ -0,0 +1,272 @@
+#include "corianderscale/Workflow/TermChain.h"
+
+#include "corianderscale/Support/Log.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+TermChain::TermChain(TermTimes times, Clock clock, InstanceId instance, RowStore &store, Hooks hooks)
+    : m_times(times)
+    , m_clock(std::move(clock))
+    , m_instance(std::move(instance))
+    , m_store(store)
+    , m_hooks(std::move(hooks))
+{
+}
+
+TermChain::~TermChain() = default;
+
+std::optional<Epoch> TermChain::owned() const
+{
+    if (m_role != Role::Owner) {
+        return std::nullopt;
+    }
+    return m_record.epoch;
+}
+
+bool TermChain::releasing() const
+{
+    return m_role == Role::Releasing || (m_releaseWanted && m_role == Role::Owner);
+}
+
+void TermChain::release(const std::string &reason)
+{
+    m_paused = true;
+    if (m_role == Role::Owner) {
+        m_releaseWanted = true;
+        logEvent(LogLevel::Info, "term-release-wanted", {{"epoch", m_record.epoch}, {"reason", reason}});
+        step();
+    }
+}
+
+void TermChain::resume()
+{
+    m_paused = false;
+}
+
+void TermChain::step()
+{
+    const MonotonicTime now = m_clock.now();
+    if (m_role == Role::Owner && now > m_lastStoredAt + m_times.surrenderAfter) {
+        endTerm("no write was confirmed for too long");
+    }
+    if (m_callInFlight || now < m_nextCallAt) {
+        return;
+    }
+    if (m_write) {
+        send();
+        return;
+    }
+    if (m_role == Role::Follower) {
+        startRead();
+        return;
+    }
+    if (m_role != Role::Owner || now < m_lastStoredAt + m_times.writePause) {
+        return;
+    }
+    std::optional<RowChange> change = m_hooks.nextChange();
+    if (change) {
+        startWrite(std::move(*change), true);
+        return;
+    }
+    if (m_releaseWanted) {
+        m_releaseWanted = false;
+        m_role = Role::Releasing;
+        m_hooks.lost("handed back");
+        startWrite({}, false);
+        return;
+    }
+    if (now >= m_lastStoredAt + m_times.heartbeatEvery) {
+        startWrite({}, false);
+    }
+}
+
+void TermChain::startRead()
+{
+    m_callInFlight = true;
+    m_store.read(OwnerTable,
+                 OwnerKey,
+                 keyAfter(OwnerKey),
+                 m_times.callLimit,
+                 [this, alive = std::weak_ptr<int>(m_alive)](const std::optional<RowPage> &page, const StateError &) {
+                     if (alive.lock()) {
+                         finishRead(page);
+                     }
+                 });
+}
+
+void TermChain::finishRead(const std::optional<RowPage> &page)
+{
+    const MonotonicTime now = m_clock.now();
+    m_callInFlight = false;
+    m_nextCallAt = now + (page ? m_times.readEvery : m_times.retryAfter);
+    if (!page) {
+        m_readFailed = true;
+        return;
+    }
+    if (page->rows.empty()) {
+        observe(RowVersion(0), TermRecord{});
+        return;
+    }
+    ProtocolError error;
+    const std::optional<TermRecord> record = decodeTerm(page->rows.front().value, error);
+    if (!record) {
+        logEvent(LogLevel::Error, "term-row-unreadable", {{"reason", error.reason}});
+        return;
+    }
+    observe(page->rows.front().version, record);
+}
+
+void TermChain::observe(RowVersion version, const std::optional<TermRecord> &record)
+{
+    const MonotonicTime now = m_clock.now();
+    if (!m_seen || m_readFailed || version != m_version) {
+        m_unchangedSince = now;
+    }
+    m_seen = true;
+    m_readFailed = false;
+    m_version = version;
+    m_record = *record;
+    const bool free = m_record.holder.empty();
+    if (!m_paused && (free || now - m_unchangedSince >= m_times.silentTime) && m_hooks.mayTake()) {
+        take();
+    }
+}
+
+void TermChain::take()
+{
+    logEvent(LogLevel::Info,
+             "term-taking",
+             {{"epoch", m_record.epoch.count() + 1},
+              {"from", m_record.holder},
+              {"unchanged_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_unchangedSince).count()}});
+    m_role = Role::Taking;
+    startWrite({}, false);
+}
+
+void TermChain::startWrite(RowChange change, bool hasChange)
+{
+    m_written = m_record;
+    ++m_written.sequence;
+    if (m_role == Role::Taking) {
+        m_written = {m_instance, m_record.epoch + Epoch(1), 1};
+    } else if (m_role == Role::Releasing) {
+        m_written.holder = InstanceId();
+    }
+    change.expected.push_back({OwnerTable, OwnerKey, m_version});
+    change.written.push_back({OwnerTable, OwnerKey, encodeTerm(m_written), {}, false});
+    m_write = std::move(change);
+    m_writeHasChange = hasChange;
+    send();
+}
+
+void TermChain::send()
+{
+    m_callInFlight = true;
+    m_writeSentAt = m_clock.now();
+    m_store.change(*m_write, m_times.callLimit, [this, alive = std::weak_ptr<int>(m_alive)](const ChangeResult &result) {
+        if (alive.lock()) {
+            finishWrite(result);
+        }
+    });
+}
+
+void TermChain::finishWrite(const ChangeResult &result)
+{
+    m_callInFlight = false;
+    if (!m_write) {
+        return;
+    }
+    switch (result.outcome) {
+    case ChangeOutcome::Committed:
+        writeStored(result.version);
+        return;
+    case ChangeOutcome::Conflict:
+        writeConflict(result.current);
+        return;
+    case ChangeOutcome::NotDone:
+    case ChangeOutcome::Unknown:
+        break;
+    }
+    m_nextCallAt = m_clock.now() + m_times.retryAfter;
+    logEvent(LogLevel::Warning,
+             "term-write-open",
+             {{"epoch", m_written.epoch},
+              {"sequence", m_written.sequence},
+              {"unknown", result.outcome == ChangeOutcome::Unknown},
+              {"reason", result.reason}});
+}
+
+bool TermChain::isOwnWrite(const std::vector<Row> &current, RowVersion &version) const
+{
+    for (const Row &row : current) {
+        if (row.table != OwnerTable || row.key != OwnerKey) {
+            continue;
+        }
+        ProtocolError error;
+        const std::optional<TermRecord> record = decodeTerm(row.value, error);
+        version = row.version;
+        return record && record->holder == m_written.holder && record->epoch == m_written.epoch
+            && record->sequence == m_written.sequence;
+    }
+    return false;
+}
+
+void TermChain::writeConflict(const std::vector<Row> &current)
+{
+    RowVersion version;
+    if (isOwnWrite(current, version)) {
+        writeStored(version);
+        return;
+    }
+    m_write.reset();
+    if (m_role == Role::Owner) {
+        endTerm("another instance took it");
+        return;
+    }
+    m_role = Role::Follower;
+    m_seen = false;
+    m_nextCallAt = m_clock.now() + m_times.readEvery;
+}
+
+void TermChain::writeStored(RowVersion version)
+{
+    m_write.reset();
+    m_version = version;
+    m_record = m_written;
+    m_lastStoredAt = m_clock.now();
+    m_nextCallAt = m_lastStoredAt;
+    if (m_role == Role::Taking) {
+        m_role = Role::Owner;
+        logEvent(LogLevel::Info, "term-won", {{"epoch", m_record.epoch}, {"version", version}});
+        m_hooks.won(m_record.epoch);
+        m_hooks.confirmed(m_writeSentAt);
+        return;
+    }
+    if (m_role == Role::Releasing) {
+        m_role = Role::Follower;
+        m_seen = false;
+        logEvent(LogLevel::Info, "term-released", {{"epoch", m_record.epoch}});
+        return;
+    }
+    m_hooks.confirmed(m_writeSentAt);
+    if (m_writeHasChange) {
+        m_hooks.changeStored();
+    }
+    step();
+}
+
+void TermChain::endTerm(const std::string &reason)
+{
+    logEvent(LogLevel::Warning, "term-lost", {{"epoch", m_record.epoch}, {"reason", reason}});
+    m_role = Role::Follower;
+    m_write.reset();
+    m_seen = false;
+    m_releaseWanted = false;
+    m_nextCallAt = m_clock.now() + m_times.readEvery;
+    m_hooks.lost(reason);
+}
+
+} // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/WorkerBook.cpp
@@ -0,0 +1,76 @@
+#include "corianderscale/Workflow/WorkerBook.h"
+
+#include <cassert>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** The platform's contract lets a worker's clock run slow by 2%. */
+constexpr double SlowestClockRate = 0.98;
+/** Rounding of the clock and of timers on the worker. */
+constexpr std::int64_t LeaseEndSlackMs = 100;
+
+} // namespace
+
+decision::Resources plus(const decision::Resources &left, const decision::Resources &right)
+{
+    return {left.cores + right.cores, left.memory + right.memory, left.accelerators + right.accelerators};
+}
+
+decision::Resources minus(const decision::Resources &left, const decision::Resources &right)
+{
+    return {left.cores - right.cores, left.memory - right.memory, left.accelerators - right.accelerators};
+}
+
+bool fitsInto(const decision::Resources &need, const decision::Resources &room)
+{
+    return need.cores <= room.cores && need.memory <= room.memory && need.accelerators <= room.accelerators;
+}
+
+Worker *WorkerBook::find(const WorkerId &id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+Run &WorkerBook::addRun(Worker &worker, Run run)
+{
+    const RunKey key{run.task, run.number};
+    worker.used = plus(worker.used, run.resources);
+    const auto [added, isNew] = worker.runs.emplace(key, std::move(run));
+    assert(isNew && "a run is added once");
+    return added->second;
+}
+
+bool WorkerBook::removeRun(Worker &worker, const RunKey &key)
+{
+    const auto found = worker.runs.find(key);
+    if (found == worker.runs.end()) {
+        return false;
+    }
+    worker.used = minus(worker.used, found->second.resources);
+    worker.runs.erase(found);
+    return true;
+}
+
+decision::Resources WorkerBook::freeOf(const Worker &worker)
+{
+    return minus(worker.report.capacity, worker.used);
+}
+
+WorkerClockMs earliestClock(const ClockSample &sample, MonotonicTime now)
+{
+    const double elapsedMs = std::chrono::duration<double, std::milli>(now - sample.receivedAt).count();
+    return sample.clock + WorkerClockMs(static_cast<std::int64_t>(elapsedMs * SlowestClockRate));
+}
+
+bool leaseSurelyEnded(const Worker &worker, MonotonicTime now)
+{
+    if (!worker.leaseGiven) {
+        return false;
+    }
+    return worker.clock && earliestClock(*worker.clock, now) > worker.leaseUntil + WorkerClockMs(LeaseEndSlackMs);
+}
+
+} // namespace coriander::workflow
