workflow: prefer strong VMs as owner, flat placement board, guarantees by age

Cause: on the grown deployments the owner ran on a VM of 0.12 cores; cancels and stops came seconds late (UNASKED, RECOVER), and a release took 2.3 s. Each placement looked workers up by name. Change: weak VMs leave a free term to strong ones for up to 1 s; a pass places on a flat board; a guarantee covers an organisation's oldest jobs also when all of them together exceed it.

Ruled out: a backlog of the store (its calls took 10 ms throughout).

--- a/include/corianderscale/Workflow/Catalogue.h
+++ b/include/corianderscale/Workflow/Catalogue.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace coriander::workflow {
@@ -66,12 +67,19 @@
     std::vector<OrganisationSpec> organisations;
     CallerLimits limits;
 
+    /** Builds what queue() looks up. Call once, after the queues are filled in. */
+    void index();
+
     /** The queue with the longest prefix of @p path among those of @p host. */
     const QueueSpec *queueFor(const std::string &host, const std::string &path) const;
+    /** Precondition: index() was called. */
     const QueueSpec *queue(const QueueName &name) const;
     const OrganisationSpec *organisation(const OrganisationId &id) const;
     /** The organisation that holds @p credential. */
     const OrganisationSpec *holderOf(const std::string &credential) const;
+
+private:
+    std::unordered_map<QueueName, std::size_t> m_queueIndex;
 };
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -125,6 +125,8 @@
         const QueueSpec *queue = nullptr;
         MonotonicTime objective;
         bool late = false;
+        /** Whether the organisation's guarantee covers the job. */
+        bool guaranteed = false;
     };
 
     // JobEngine.cpp
@@ -171,13 +173,14 @@
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
-    void place(const Candidate &candidate, FreeRoom &room, MonotonicTime now);
+    void place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
     void assign(const Candidate &candidate,
                 const std::vector<std::size_t> &tasks,
                 const std::vector<WorkerId> &workers,
                 MonotonicTime now);
-    bool holdsGuarantee(const Candidate &candidate) const;
-    void reclaim(const Candidate &candidate, const PlacementNeed &need, FreeRoom &room, MonotonicTime now);
+    /** The jobs of priority 0 that their organisation's guarantee covers, older jobs first. */
+    std::set<JobId> guaranteedJobs() const;
+    void reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     std::optional<double> victimCost(const Run &run, int claimantPriority, MonotonicTime now) const;
 
     EngineTimes m_times;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -23,6 +23,8 @@
     std::string metricsListen;
     /** `IPv4:port` of the store. */
     std::string store;
+    /** Cores that the process may use. */
+    double processorShare = 0.5;
     /** Longest lease that workers grant. */
     Duration longestLease = std::chrono::seconds(10);
     /** Time from SIGTERM to SIGKILL. */
@@ -30,7 +32,7 @@
 };
 
 /**
- * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `longest_lease_ms`,
+ * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `processor_share`, `longest_lease_ms`,
  * `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -2,9 +2,9 @@
 
 #include "corianderscale/Workflow/WorkerBook.h"
 
-#include <functional>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace coriander::workflow {
@@ -25,22 +25,53 @@
     std::set<WorkerId> avoid;
 };
 
-/** What a worker has free for the need; workers that may not be used have no entry. */
-using FreeRoom = std::map<WorkerId, decision::Resources>;
+/** Room on one worker while a pass places tasks. */
+struct BoardEntry {
+    const Worker *worker = nullptr;
+    decision::Resources room;
+    /** Number of the worker's rack. */
+    std::size_t rack = 0;
+    /** Whether new tasks may go there now; others count only for what could ever fit. */
+    bool open = false;
+};
+
+/** The listed workers that do not drain, with the room that a pass has not used yet. */
+class PlacementBoard
+{
+public:
+    /** @p workers must outlive the board and not change. */
+    PlacementBoard(const WorkerBook &workers, MonotonicTime now);
+
+    std::vector<BoardEntry> &entries()
+    {
+        return m_entries;
+    }
 
-/** Whether @p worker may take new runs at @p now. */
-bool takesWork(const Worker &worker, MonotonicTime now);
+    const std::vector<BoardEntry> &entries() const
+    {
+        return m_entries;
+    }
 
-/** Whether the worker fits service and label of the need. */
-bool eligible(const Worker &worker, const PlacementNeed &need);
+    std::size_t rackCount() const
+    {
+        return m_racks.size();
+    }
+
+    /** Indices of the entries whose worker fits service and label of the need. */
+    std::vector<std::size_t> eligible(const PlacementNeed &need) const;
+
+private:
+    std::vector<BoardEntry> m_entries;
+    std::map<RackId, std::size_t> m_racks;
+};
 
 /**
- * Workers for all tasks at once, or none: in the data's rack, or in one rack, or across racks when no rack could ever
- * hold the tasks. Takes what it uses from @p room. Thread safety: pure but for @p room.
+ * Entries for all tasks at once, or none: in one rack when the need says so, or across racks when no rack could ever
+ * hold the tasks. Takes the room. Thread safety: none.
  */
-std::vector<WorkerId> placeTogether(const WorkerBook &workers, const PlacementNeed &need, FreeRoom &room);
+std::vector<std::size_t> placeTogether(PlacementBoard &board, const PlacementNeed &need);
 
-/** Workers for as many of the tasks as there is room for, in order. */
-std::vector<WorkerId> placeEach(const WorkerBook &workers, const PlacementNeed &need, FreeRoom &room);
+/** Entries for as many of the tasks as there is room for, in the data's rack when there is one. Takes the room. */
+std::vector<std::size_t> placeEach(PlacementBoard &board, const PlacementNeed &need);
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/Reclaim.h
+++ b/include/corianderscale/Workflow/Reclaim.h
@@ -10,8 +10,8 @@
 
 /** Room for tasks that is made by stopping runs. */
 struct ReclaimPlan {
-    /** One worker for each task. */
-    std::vector<WorkerId> workers;
+    /** One entry of the board for each task. */
+    std::vector<std::size_t> entries;
     std::vector<std::pair<WorkerId, RunKey>> victims;
     double cost = 0;
 };
@@ -25,9 +25,7 @@
  *
  * Thread safety: pure but for the hook.
  */
-std::optional<ReclaimPlan> planReclaim(const WorkerBook &workers,
-                                       const PlacementNeed &need,
-                                       const FreeRoom &room,
-                                       const VictimCost &costOf);
+std::optional<ReclaimPlan>
+planReclaim(const PlacementBoard &board, const PlacementNeed &need, const VictimCost &costOf);
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -16,8 +16,10 @@
     Duration heartbeatEvery = std::chrono::milliseconds(500);
     /** How often the others read the term. */
     Duration readEvery = std::chrono::milliseconds(600);
+    /** A weak VM leaves a free term to stronger ones for this long. */
+    Duration handicap{};
     /** An owner that wrote nothing for this long is replaced; several heartbeats, and answers of a slow store. */
-    Duration silentTime = std::chrono::milliseconds(2200);
+    Duration silentTime = std::chrono::milliseconds(2000);
     /** Least time between two writes of the owner; lets changes share a write. */
     Duration writePause = std::chrono::milliseconds(10);
     /** How long one call may take; a slow store answers within 0.5 s. */
--- a/lib/Workflow/Catalogue.cpp
+++ b/lib/Workflow/Catalogue.cpp
@@ -4,6 +4,14 @@
 
 namespace coriander::workflow {
 
+void Catalogue::index()
+{
+    m_queueIndex.clear();
+    for (std::size_t i = 0; i < queues.size(); ++i) {
+        m_queueIndex.emplace(queues[i].name, i);
+    }
+}
+
 const QueueSpec *Catalogue::queueFor(const std::string &host, const std::string &path) const
 {
     const QueueSpec *best = nullptr;
@@ -20,9 +28,8 @@
 
 const QueueSpec *Catalogue::queue(const QueueName &name) const
 {
-    const auto found
-        = std::find_if(queues.begin(), queues.end(), [&name](const QueueSpec &queue) { return queue.name == name; });
-    return found == queues.end() ? nullptr : &*found;
+    const auto found = m_queueIndex.find(name);
+    return found == m_queueIndex.end() ? nullptr : &queues[found->second];
 }
 
 const OrganisationSpec *Catalogue::organisation(const OrganisationId &id) const
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -60,14 +60,9 @@
     if (waiting.empty()) {
         return;
     }
-    FreeRoom room;
-    for (const auto &[id, worker] : m_workers.all()) {
-        if (takesWork(worker, now)) {
-            room.emplace(id, WorkerBook::freeOf(worker));
-        }
-    }
+    PlacementBoard board(m_workers, now);
     for (const Candidate &candidate : waiting) {
-        place(candidate, room, now);
+        place(candidate, board, now);
     }
 }
 
@@ -82,9 +77,11 @@
         }
         addCandidates(job, *queue, now, found);
     }
-    for (const Candidate &candidate : found) {
-        const bool first = holdsGuarantee(candidate);
-        const double rank = first ? -1.0 : candidate.queue->priority + (candidate.late ? LatePenalty : 0.0);
+    const std::set<JobId> covered = guaranteedJobs();
+    for (Candidate &candidate : found) {
+        candidate.guaranteed = covered.count(candidate.job->spec.id) > 0;
+        const double rank
+            = candidate.guaranteed ? -1.0 : candidate.queue->priority + (candidate.late ? LatePenalty : 0.0);
         ordered.emplace_back(std::tuple(rank, candidate.objective, candidate.job->spec.id), candidate);
     }
     std::stable_sort(
@@ -165,7 +162,7 @@
     return need;
 }
 
-void JobEngine::place(const Candidate &candidate, FreeRoom &room, MonotonicTime now)
+void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
     const std::vector<std::size_t> tasks = waitingTasks(candidate);
     if (tasks.empty()) {
@@ -173,15 +170,18 @@
     }
     const PlacementNeed need = needOf(candidate, tasks);
     const bool gang = candidate.job->spec.steps[candidate.step].gang;
-    const std::vector<WorkerId> workers
-        = gang ? placeTogether(m_workers, need, room) : placeEach(m_workers, need, room);
-    if (!workers.empty()) {
+    const std::vector<std::size_t> entries = gang ? placeTogether(board, need) : placeEach(board, need);
+    if (!entries.empty()) {
+        std::vector<WorkerId> workers;
+        for (const std::size_t entry : entries) {
+            workers.push_back(board.entries()[entry].worker->report.id);
+        }
         assign(candidate, tasks, workers, now);
     }
-    if (workers.size() < tasks.size() && holdsGuarantee(candidate)) {
+    if (entries.size() < tasks.size() && candidate.guaranteed) {
         PlacementNeed rest = need;
-        rest.tasks = tasks.size() - workers.size();
-        reclaim(candidate, rest, room, now);
+        rest.tasks = tasks.size() - entries.size();
+        reclaim(candidate, rest, board, now);
     }
 }
 
@@ -238,24 +238,31 @@
               {"configuration", m_catalogue->version}});
 }
 
-bool JobEngine::holdsGuarantee(const Candidate &candidate) const
+std::set<JobId> JobEngine::guaranteedJobs() const
 {
-    if (candidate.queue->priority != 0) {
-        return false;
-    }
-    const OrganisationId &id = candidate.job->spec.organisation;
-    const OrganisationSpec *organisation = m_catalogue->organisation(id);
-    if (organisation == nullptr) {
-        return false;
-    }
-    std::int64_t wanted = 0;
-    for (const auto &[jobId, job] : m_jobs) {
+    std::map<OrganisationId, std::vector<const Job *>> urgent;
+    for (const auto &[id, job] : m_jobs) {
         const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (job.spec.organisation == id && queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
-            wanted += widestStep(job.spec);
+        if (queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
+            urgent[job.spec.organisation].push_back(&job);
+        }
+    }
+    std::set<JobId> covered;
+    for (auto &[id, jobs] : urgent) {
+        const OrganisationSpec *organisation = m_catalogue->organisation(id);
+        std::int64_t left = organisation == nullptr ? 0 : organisation->guaranteed.count();
+        std::sort(jobs.begin(), jobs.end(), [](const Job *one, const Job *other) {
+            return one->spec.acceptedAt < other->spec.acceptedAt;
+        });
+        for (const Job *job : jobs) {
+            const std::int64_t wanted = widestStep(job->spec);
+            if (wanted <= left) {
+                left -= wanted;
+                covered.insert(job->spec.id);
+            }
         }
     }
-    return wanted <= organisation->guaranteed.count();
+    return covered;
 }
 
 std::optional<double> JobEngine::victimCost(const Run &run, int claimantPriority, MonotonicTime now) const
@@ -271,10 +278,10 @@
     return weightOf(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
 }
 
-void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, FreeRoom &room, MonotonicTime now)
+void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
 {
     const std::optional<ReclaimPlan> plan
-        = planReclaim(m_workers, need, room, [this, &candidate, now](const Worker &, const Run &run) {
+        = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
               return victimCost(run, candidate.queue->priority, now);
           });
     if (!plan) {
@@ -295,8 +302,8 @@
         }
     }
     // Others must not take the room while the victims end.
-    for (const WorkerId &worker : plan->workers) {
-        room.erase(worker);
+    for (const std::size_t entry : plan->entries) {
+        board.entries()[entry].open = false;
     }
 }
 
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -6,12 +6,18 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace coriander::workflow {
 
 namespace {
 
+/** Cores at which a VM carries the scheduling of 350 workers with room to spare; see docs/CAPACITY.md. */
+constexpr double OwnerCores = 0.5;
+/** How long a VM with half of these cores leaves a free term to others; about the time between two reads. */
+constexpr Duration HandicapStep = std::chrono::milliseconds(250);
+constexpr double MostWeakness = 4;
 /** Part of the longest lease that is given; the rest covers orders that take long to arrive. */
 constexpr int LeasePercent = 85;
 /** After SIGTERM calls are still taken this long, until the balancer has seen two failed readiness checks. */
@@ -92,6 +98,8 @@
     static OwnerTimes ownerTimes(const NodeSettings &settings)
     {
         OwnerTimes times;
+        const double weakness = std::clamp(OwnerCores / settings.processorShare - 1, 0.0, MostWeakness);
+        times.term.handicap = std::chrono::duration_cast<Duration>(HandicapStep * weakness);
         times.engine.lease = settings.longestLease * LeasePercent / 100;
         return times;
     }
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -11,20 +11,23 @@
 /** A lease has to outlive the election of a new owner. */
 constexpr std::int64_t LeastLeaseMs = 4000;
 
-/** Seconds, also fractions of them. */
-Duration readSeconds(YamlMap &settings, const std::string &key, Duration fallback)
+constexpr double MaximumSeconds = 3600;
+constexpr double MaximumCores = 1024;
+
+/** A number above 0 and at most @p most, also with a fraction. */
+double readFraction(YamlMap &settings, const std::string &key, double fallback, double most)
 {
     const std::string text = settings.text(key, "");
     if (text.empty()) {
         return fallback;
     }
     char *end = nullptr;
-    const double seconds = std::strtod(text.c_str(), &end);
-    if (*end != '\0' || !(seconds > 0) || seconds * 1000 > MaximumMs) {
-        settings.fault(key, "expected seconds above 0 and at most 3600");
+    const double value = std::strtod(text.c_str(), &end);
+    if (*end != '\0' || !(value > 0) || value > most) {
+        settings.fault(key, "expected a number above 0 and at most " + std::to_string(static_cast<int>(most)));
         return fallback;
     }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return value;
 }
 
 } // namespace
@@ -43,7 +46,9 @@
     };
     result.longestLease = std::chrono::milliseconds(
         settings.integer("longest_lease_ms", milliseconds(result.longestLease), LeastLeaseMs, MaximumMs));
-    result.grace = readSeconds(settings, "grace_s", result.grace);
+    const double graceSeconds = readFraction(settings, "grace_s", 6, MaximumSeconds);
+    result.grace = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(graceSeconds));
+    result.processorShare = readFraction(settings, "processor_share", result.processorShare, MaximumCores);
     const std::string level = settings.choice("log_level", "info", {"debug", "info", "warning", "error"});
     setLogLevel(level == "debug"         ? LogLevel::Debug
                     : level == "info"    ? LogLevel::Info
--- a/lib/Workflow/OwnerDuty.cpp
+++ b/lib/Workflow/OwnerDuty.cpp
@@ -177,7 +177,7 @@
         return;
     }
     jobsChanged(rows);
-    if (m_restored) {
+    if (m_restored || !m_engine) {
         return;
     }
     m_restored = true;
@@ -315,6 +315,9 @@
     const MonotonicTime now = m_clock.now();
     if (m_engine && m_restored) {
         m_engine->step();
+    }
+    // The step may have ended the term.
+    if (m_engine && m_restored) {
         checkIsolation(now);
     }
     if (m_engine && m_engine->superseded()) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -9,183 +9,222 @@
 
 namespace {
 
-/** Calls without an answer after which a worker gets no new work. */
-constexpr int SilentCallsBeforeDoubt = 1;
-
-using Racks = std::map<RackId, std::vector<const Worker *>>;
+/** Whether @p worker may take new runs at @p now. */
+bool takesWork(const Worker &worker, MonotonicTime now)
+{
+    return worker.known && worker.silentCalls == 0 && worker.avoidedUntil <= now && worker.clock.has_value();
+}
 
-/** How many tasks of @p size fit into @p room. */
-std::size_t countFitting(const decision::Resources &size, const decision::Resources &room)
+/** How many tasks of @p size fit into @p room, at most @p most. */
+std::size_t countFitting(const decision::Resources &size, const decision::Resources &room, std::size_t most)
 {
-    std::int64_t count = std::numeric_limits<std::int64_t>::max();
+    auto count = static_cast<std::int64_t>(most);
     const auto bound = [&count](std::int64_t need, std::int64_t have) {
         if (need > 0) {
             count = std::min(count, std::max<std::int64_t>(have, 0) / need);
         }
     };
+    bound(size.accelerators.count(), room.accelerators.count());
     bound(size.cores.count(), room.cores.count());
     bound(size.memory.count(), room.memory.count());
-    bound(size.accelerators.count(), room.accelerators.count());
     return static_cast<std::size_t>(count);
 }
 
-std::size_t slotsFor(const PlacementNeed &need, const Worker &worker, const decision::Resources &room)
+/** Places the tasks of one need on chosen entries of a board. */
+class Fitting
 {
-    std::size_t slots = countFitting(need.perTask, room);
-    if (need.mostPerWorker > 0) {
-        const auto held = need.held.find(worker.report.id);
-        const std::size_t taken = held == need.held.end() ? 0 : held->second;
-        slots = std::min(slots, need.mostPerWorker - std::min(need.mostPerWorker, taken));
+public:
+    Fitting(PlacementBoard &board, const PlacementNeed &need)
+        : m_board(board)
+        , m_need(need)
+        , m_eligible(board.eligible(need))
+    {
+    }
+
+    const std::vector<std::size_t> &eligible() const
+    {
+        return m_eligible;
+    }
+
+    bool isOpen(std::size_t index) const
+    {
+        return m_board.entries()[index].open;
+    }
+
+    std::size_t slots(std::size_t index) const
+    {
+        const BoardEntry &entry = m_board.entries()[index];
+        return bounded(entry, countFitting(m_need.perTask, entry.room, m_need.tasks));
+    }
+
+    /** Slots of the worker when it is empty. */
+    std::size_t capacitySlots(std::size_t index) const
+    {
+        const BoardEntry &entry = m_board.entries()[index];
+        return bounded(entry, countFitting(m_need.perTask, entry.worker->report.capacity, m_need.tasks));
+    }
+
+    /** Takes room for all tasks, or for as many as fit, on the entries. */
+    std::vector<std::size_t> take(const std::vector<std::size_t> &entries)
+    {
+        std::vector<std::size_t> chosen;
+        for (std::size_t i = 0; i < m_need.tasks; ++i) {
+            const std::optional<std::size_t> best = bestOf(entries);
+            if (!best) {
+                break;
+            }
+            BoardEntry &entry = m_board.entries()[*best];
+            entry.room = minus(entry.room, m_need.perTask);
+            if (m_need.mostPerWorker > 0) {
+                ++m_need.held[entry.worker->report.id];
+            }
+            chosen.push_back(*best);
+        }
+        return chosen;
     }
-    return slots;
-}
-
-/** Smaller is better: workers to avoid last, then those that the task fills best, accelerators first. */
-auto leftover(const PlacementNeed &need, const Worker &worker, const decision::Resources &room)
-{
-    const decision::Resources left = minus(room, need.perTask);
-    return std::make_tuple(
-        need.avoid.count(worker.report.id), left.accelerators.count(), left.cores.count(), left.memory.count());
-}
 
-/** Takes room for one task on the best worker of @p candidates. */
-const Worker *takeBest(const std::vector<const Worker *> &candidates, PlacementNeed &need, FreeRoom &room)
-{
-    const Worker *best = nullptr;
-    for (const Worker *worker : candidates) {
-        const decision::Resources &free = room.at(worker->report.id);
-        if (slotsFor(need, *worker, free) == 0) {
-            continue;
+private:
+    std::size_t bounded(const BoardEntry &entry, std::size_t slots) const
+    {
+        if (m_need.mostPerWorker == 0) {
+            return slots;
         }
-        if (best == nullptr || leftover(need, *worker, free) < leftover(need, *best, room.at(best->report.id))) {
-            best = worker;
+        const auto held = m_need.held.find(entry.worker->report.id);
+        const std::size_t taken = held == m_need.held.end() ? 0 : held->second;
+        return std::min(slots, m_need.mostPerWorker - std::min(m_need.mostPerWorker, taken));
+    }
+
+    /** Smaller is better: workers to avoid last, then those that the task fills best, accelerators first. */
+    auto leftover(const BoardEntry &entry) const
+    {
+        const bool avoided = !m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0;
+        const decision::Resources left = minus(entry.room, m_need.perTask);
+        return std::tuple(avoided, left.accelerators.count(), left.cores.count(), left.memory.count());
+    }
+
+    std::optional<std::size_t> bestOf(const std::vector<std::size_t> &entries) const
+    {
+        std::optional<std::size_t> best;
+        for (const std::size_t index : entries) {
+            const BoardEntry &entry = m_board.entries()[index];
+            if (!entry.open || !fitsInto(m_need.perTask, entry.room) || bounded(entry, 1) == 0) {
+                continue;
+            }
+            if (!best || leftover(entry) < leftover(m_board.entries()[*best])) {
+                best = index;
+            }
         }
+        return best;
     }
-    if (best == nullptr) {
-        return nullptr;
-    }
-    decision::Resources &free = room.at(best->report.id);
-    free = minus(free, need.perTask);
-    if (need.mostPerWorker > 0) {
-        ++need.held[best->report.id];
-    }
-    return best;
-}
 
-std::vector<const Worker *> candidatesFor(const WorkerBook &workers, const PlacementNeed &need, const FreeRoom &room)
+    PlacementBoard &m_board;
+    PlacementNeed m_need;
+    std::vector<std::size_t> m_eligible;
+};
+
+/** The rack with the fewest open slots that still holds all tasks. */
+std::optional<std::size_t>
+tightestRack(const PlacementBoard &board, const Fitting &fitting, const PlacementNeed &need)
 {
-    std::vector<const Worker *> candidates;
-    for (const auto &[id, worker] : workers.all()) {
-        if (room.count(id) > 0 && eligible(worker, need)) {
-            candidates.push_back(&worker);
+    std::vector<std::size_t> slots(board.rackCount());
+    for (const std::size_t index : fitting.eligible()) {
+        if (fitting.isOpen(index)) {
+            slots[board.entries()[index].rack] += fitting.slots(index);
         }
     }
-    return candidates;
-}
-
-std::size_t totalSlots(const std::vector<const Worker *> &candidates, const PlacementNeed &need, const FreeRoom &room)
-{
-    std::size_t slots = 0;
-    for (const Worker *worker : candidates) {
-        slots += std::min(slotsFor(need, *worker, room.at(worker->report.id)), need.tasks);
+    std::optional<std::size_t> best;
+    for (std::size_t rack = 0; rack < slots.size(); ++rack) {
+        if (slots[rack] >= need.tasks && (!best || slots[rack] < slots[*best])) {
+            best = rack;
+        }
     }
-    return slots;
+    return best;
 }
 
 /** Whether some rack has room for all tasks when it is empty. */
-bool anyRackCouldHold(const WorkerBook &workers, const PlacementNeed &need)
+bool anyRackCouldHold(const PlacementBoard &board, const Fitting &fitting, const PlacementNeed &need)
 {
-    std::map<RackId, std::size_t> slots;
-    for (const auto &[id, worker] : workers.all()) {
-        if (worker.listed && !worker.report.draining && eligible(worker, need)) {
-            slots[worker.report.rack] += std::min(slotsFor(need, worker, worker.report.capacity), need.tasks);
-        }
+    std::vector<std::size_t> slots(board.rackCount());
+    for (const std::size_t index : fitting.eligible()) {
+        slots[board.entries()[index].rack] += fitting.capacitySlots(index);
     }
-    return std::any_of(slots.begin(), slots.end(), [&need](const auto &rack) { return rack.second >= need.tasks; });
+    return std::any_of(slots.begin(), slots.end(), [&need](std::size_t count) {
+        return count >= need.tasks;
+    });
 }
 
-std::vector<WorkerId> takeAll(const std::vector<const Worker *> &candidates, const PlacementNeed &need, FreeRoom &room)
+} // namespace
+
+PlacementBoard::PlacementBoard(const WorkerBook &workers, MonotonicTime now)
 {
-    PlacementNeed open = need;
-    std::vector<WorkerId> chosen;
-    for (std::size_t i = 0; i < need.tasks; ++i) {
-        const Worker *worker = takeBest(candidates, open, room);
-        if (worker == nullptr) {
-            break;
+    m_entries.reserve(workers.all().size());
+    for (const auto &[id, worker] : workers.all()) {
+        if (!worker.listed || worker.report.draining) {
+            continue;
         }
-        chosen.push_back(worker->report.id);
+        const std::size_t rack = m_racks.try_emplace(worker.report.rack, m_racks.size()).first->second;
+        m_entries.push_back({&worker, WorkerBook::freeOf(worker), rack, takesWork(worker, now)});
     }
-    return chosen;
 }
 
-/** The rack with the fewest slots that still holds all tasks. */
-std::optional<RackId> tightestRack(const Racks &racks, const PlacementNeed &need, const FreeRoom &room)
+std::vector<std::size_t> PlacementBoard::eligible(const PlacementNeed &need) const
 {
-    std::optional<RackId> best;
-    std::size_t bestSlots = std::numeric_limits<std::size_t>::max();
-    for (const auto &[rack, candidates] : racks) {
-        std::size_t slots = 0;
-        for (const Worker *worker : candidates) {
-            slots += std::min(slotsFor(need, *worker, room.at(worker->report.id)), need.tasks);
+    std::vector<std::size_t> indices;
+    indices.reserve(m_entries.size());
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const WorkerReport &report = m_entries[i].worker->report;
+        if (report.service != need.service) {
+            continue;
         }
-        if (slots >= need.tasks && slots < bestSlots) {
-            best = rack;
-            bestSlots = slots;
+        const std::vector<std::string> &labels = report.labels;
+        if (need.requiredLabel.empty()
+            || std::find(labels.begin(), labels.end(), need.requiredLabel) != labels.end()) {
+            indices.push_back(i);
         }
     }
-    return best;
+    return indices;
 }
 
-} // namespace
-
-bool takesWork(const Worker &worker, MonotonicTime now)
-{
-    return worker.listed && worker.known && !worker.report.draining && worker.silentCalls < SilentCallsBeforeDoubt
-        && worker.avoidedUntil <= now && worker.clock.has_value();
-}
-
-bool eligible(const Worker &worker, const PlacementNeed &need)
+std::vector<std::size_t> placeTogether(PlacementBoard &board, const PlacementNeed &need)
 {
-    if (worker.report.service != need.service) {
-        return false;
+    Fitting fitting(board, need);
+    std::size_t slots = 0;
+    for (const std::size_t index : fitting.eligible()) {
+        slots += fitting.isOpen(index) ? fitting.slots(index) : 0;
     }
-    const std::vector<std::string> &labels = worker.report.labels;
-    return need.requiredLabel.empty() || std::find(labels.begin(), labels.end(), need.requiredLabel) != labels.end();
-}
-
-std::vector<WorkerId> placeTogether(const WorkerBook &workers, const PlacementNeed &need, FreeRoom &room)
-{
-    const std::vector<const Worker *> candidates = candidatesFor(workers, need, room);
-    if (totalSlots(candidates, need, room) < need.tasks) {
+    if (slots < need.tasks) {
         return {};
     }
     if (!need.sameRack) {
-        return takeAll(candidates, need, room);
-    }
-    Racks racks;
-    for (const Worker *worker : candidates) {
-        racks[worker->report.rack].push_back(worker);
+        return fitting.take(fitting.eligible());
     }
-    const std::optional<RackId> rack = tightestRack(racks, need, room);
+    const std::optional<std::size_t> rack = tightestRack(board, fitting, need);
     if (rack) {
-        return takeAll(racks[*rack], need, room);
+        std::vector<std::size_t> inRack = fitting.eligible();
+        std::erase_if(inRack, [&board, &rack](std::size_t index) {
+            return board.entries()[index].rack != *rack;
+        });
+        return fitting.take(inRack);
     }
-    if (anyRackCouldHold(workers, need)) {
+    if (anyRackCouldHold(board, fitting, need)) {
         return {};
     }
-    return takeAll(candidates, need, room);
+    return fitting.take(fitting.eligible());
 }
 
-std::vector<WorkerId> placeEach(const WorkerBook &workers, const PlacementNeed &need, FreeRoom &room)
+std::vector<std::size_t> placeEach(PlacementBoard &board, const PlacementNeed &need)
 {
-    std::vector<const Worker *> candidates = candidatesFor(workers, need, room);
-    const auto inDataRack = [&need](const Worker *worker) {
-        return worker->report.rack == need.dataRack;
+    Fitting fitting(board, need);
+    std::vector<std::size_t> entries = fitting.eligible();
+    const auto inDataRack = [&board, &need](std::size_t index) {
+        return board.entries()[index].worker->report.rack == need.dataRack;
     };
-    if (!need.dataRack.empty() && std::any_of(candidates.begin(), candidates.end(), inDataRack)) {
-        std::erase_if(candidates, [&inDataRack](const Worker *worker) { return !inDataRack(worker); });
+    if (!need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
+        std::erase_if(entries, [&inDataRack](std::size_t index) {
+            return !inDataRack(index);
+        });
     }
-    return takeAll(candidates, need, room);
+    return fitting.take(entries);
 }
 
 } // namespace coriander::workflow
--- a/lib/Workflow/Reclaim.cpp
+++ b/lib/Workflow/Reclaim.cpp
@@ -8,6 +8,8 @@
 
 struct Candidate {
     const Worker *worker = nullptr;
+    std::size_t entry = 0;
+    std::size_t rack = 0;
     /** Free room, with what is being stopped and the victims chosen so far. */
     decision::Resources room;
     /** Runs that may be stopped, cheapest first, without those chosen. */
@@ -20,34 +22,24 @@
     std::size_t victims = 0;
 };
 
-std::vector<Candidate> candidatesFor(const WorkerBook &workers,
-                                     const PlacementNeed &need,
-                                     const FreeRoom &room,
-                                     const VictimCost &costOf)
+Candidate makeCandidate(const PlacementBoard &board, std::size_t index, const VictimCost &costOf)
 {
-    std::vector<Candidate> candidates;
-    for (const auto &[id, worker] : workers.all()) {
-        const auto free = room.find(id);
-        if (free == room.end() || !eligible(worker, need)) {
+    const BoardEntry &entry = board.entries()[index];
+    Candidate candidate{entry.worker, index, entry.rack, entry.room, {}};
+    for (const auto &[key, run] : entry.worker->runs) {
+        if (run.stopWanted) {
+            candidate.room = plus(candidate.room, run.resources);
             continue;
         }
-        Candidate candidate{&worker, free->second, {}};
-        for (const auto &[key, run] : worker.runs) {
-            if (run.stopWanted) {
-                candidate.room = plus(candidate.room, run.resources);
-                continue;
-            }
-            const std::optional<double> cost = costOf(worker, run);
-            if (cost) {
-                candidate.victims.emplace_back(*cost, &run);
-            }
+        const std::optional<double> cost = costOf(*entry.worker, run);
+        if (cost) {
+            candidate.victims.emplace_back(*cost, &run);
         }
-        std::sort(candidate.victims.begin(), candidate.victims.end(), [](const auto &left, const auto &right) {
-            return left.first < right.first;
-        });
-        candidates.push_back(std::move(candidate));
     }
-    return candidates;
+    std::sort(candidate.victims.begin(), candidate.victims.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    return candidate;
 }
 
 std::optional<Step> oneMore(const Candidate &candidate, const decision::Resources &size)
@@ -76,7 +68,7 @@
     candidate.victims.erase(candidate.victims.begin(),
                             candidate.victims.begin() + static_cast<std::ptrdiff_t>(step.victims));
     candidate.room = minus(candidate.room, size);
-    plan.workers.push_back(candidate.worker->report.id);
+    plan.entries.push_back(candidate.entry);
     plan.cost += step.cost;
 }
 
@@ -107,18 +99,21 @@
 
 } // namespace
 
-std::optional<ReclaimPlan> planReclaim(const WorkerBook &workers,
-                                       const PlacementNeed &need,
-                                       const FreeRoom &room,
-                                       const VictimCost &costOf)
+std::optional<ReclaimPlan>
+planReclaim(const PlacementBoard &board, const PlacementNeed &need, const VictimCost &costOf)
 {
-    const std::vector<Candidate> candidates = candidatesFor(workers, need, room, costOf);
+    std::vector<Candidate> candidates;
+    for (const std::size_t index : board.eligible(need)) {
+        if (board.entries()[index].open) {
+            candidates.push_back(makeCandidate(board, index, costOf));
+        }
+    }
     if (!need.sameRack) {
-        return planWithin(candidates, need);
+        return planWithin(std::move(candidates), need);
     }
-    std::map<RackId, std::vector<Candidate>> racks;
+    std::map<std::size_t, std::vector<Candidate>> racks;
     for (const Candidate &candidate : candidates) {
-        racks[candidate.worker->report.rack].push_back(candidate);
+        racks[candidate.rack].push_back(candidate);
     }
     std::optional<ReclaimPlan> best;
     for (auto &[rack, inRack] : racks) {
@@ -127,7 +122,7 @@
             best = std::move(plan);
         }
     }
-    return best ? best : planWithin(candidates, need);
+    return best ? best : planWithin(std::move(candidates), need);
 }
 
 } // namespace coriander::workflow
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -129,7 +129,8 @@
     m_version = version;
     m_record = *record;
     const bool free = m_record.holder.empty() || heldByEarlierRun();
-    if (!m_paused && (free || now - m_unchangedSince >= m_times.silentTime) && m_hooks.mayTake()) {
+    const Duration wait = m_times.handicap + (free ? Duration(0) : m_times.silentTime);
+    if (!m_paused && now - m_unchangedSince >= wait && m_hooks.mayTake()) {
         take();
     }
 }
--- a/unittests/Workflow/EngineWorld.h
+++ b/unittests/Workflow/EngineWorld.h
@@ -41,6 +41,7 @@
             made->queues.push_back(queue);
         }
         made->organisations.push_back({OrganisationId("org"), {"key"}, Accelerators(16)});
+        made->index();
         catalogue = made;
         tick();
     }
