--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,8 @@
     Duration planEvery = std::chrono::milliseconds(200);
     /** Leases are given this long after the store last confirmed the term; a new owner waits as long for old leases. */
     Duration grantTime = std::chrono::seconds(4);
+    /** How long room is kept for the step that it was made for; above the time that a stop takes. */
+    Duration claimTime = std::chrono::milliseconds(2500);
     /** How long a worker whose runs fail is avoided; several task lengths. */
     Duration avoidTime = std::chrono::seconds(10);
     /** How long a worker that says that it is unhealthy is avoided. */
@@ -129,6 +132,16 @@
         bool guaranteed = false;
     };
 
+    /** Room that was made for a step by stopping others, until the step takes it. */
+    struct Claim {
+        /** One for each task. */
+        std::vector<WorkerId> workers;
+        decision::Resources perTask;
+        MonotonicTime madeAt;
+    };
+    /** Job, occurrence and step. */
+    using ClaimKey = std::tuple<JobId, std::size_t, std::size_t>;
+
     // JobEngine.cpp
     void markDirty(const TaskKey &key);
     void markState(Job &job, JobState state);
@@ -178,10 +191,17 @@
                 const std::vector<std::size_t> &tasks,
                 const std::vector<WorkerId> &workers,
                 MonotonicTime now);
+
+    // JobEngineReclaim.cpp
     /** The jobs of priority 0 that their organisation's guarantee covers, older jobs first. */
     std::set<JobId> guaranteedJobs() const;
     void reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     std::optional<double> victimCost(const Run &run, int claimantPriority, MonotonicTime now) const;
+    /** Takes the claimed room from the board, or gives it back. */
+    void reserve(const Claim &claim, PlacementBoard &board, bool taken);
+    /** The entries of the claim when all have become free; takes their room. */
+    std::vector<std::size_t> takeClaimed(const Claim &claim, PlacementBoard &board);
+    void dropOldClaims(MonotonicTime now);
 
     EngineTimes m_times;
     Clock m_clock;
@@ -191,6 +211,7 @@
     std::shared_ptr<const Catalogue> m_catalogue;
     std::map<JobId, Job> m_jobs;
     WorkerBook m_workers;
+    std::map<ClaimKey, Claim> m_claims;
     /** Jobs with rows to store, oldest change first. */
     std::set<JobId> m_dirtyJobs;
     /** Jobs that ended in this term; a late feed may still show them. */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Workflow/WorkerBook.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,10 +58,14 @@
         return m_racks.size();
     }
 
+    /** The entry of a worker that is on the board. */
+    std::optional<std::size_t> find(const WorkerId &worker) const;
+
     /** Indices of the entries whose worker fits service and label of the need. */
     std::vector<std::size_t> eligible(const PlacementNeed &need) const;
 
 private:
+    /** In the order of the worker ids. */
     std::vector<BoardEntry> m_entries;
     std::map<RackId, std::size_t> m_racks;
 };
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -1,6 +1,5 @@
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
-#include "corianderscale/Workflow/Reclaim.h"
 
 #include <algorithm>
 #include <tuple>
@@ -13,8 +12,6 @@
 constexpr double LatePenalty = 1.5;
 /** An occurrence starts this much after its due time, for wall clocks that differ between VMs. */
 constexpr Duration DueMargin = std::chrono::milliseconds(50);
-/** Weight of an accelerator against a core in the cost of lost work; the users' price counts it as 8 cores. */
-constexpr double CoresPerAccelerator = 8;
 
 /** Expected time of the longest chain of steps. */
 Duration chainEstimate(const JobSpec &job)
@@ -32,21 +29,6 @@
     return longest;
 }
 
-double weightOf(const decision::Resources &resources)
-{
-    return static_cast<double>(resources.cores.count()) / 1000.0
-        + CoresPerAccelerator * static_cast<double>(resources.accelerators.count());
-}
-
-std::int64_t widestStep(const JobSpec &job)
-{
-    std::int64_t widest = 0;
-    for (const StepSpec &step : job.steps) {
-        widest = std::max(widest, static_cast<std::int64_t>(step.tasks) * step.perTask.accelerators.count());
-    }
-    return widest;
-}
-
 } // namespace
 
 void JobEngine::plan(MonotonicTime now)
@@ -61,6 +43,10 @@
         return;
     }
     PlacementBoard board(m_workers, now);
+    dropOldClaims(now);
+    for (const auto &[key, claim] : m_claims) {
+        reserve(claim, board, true);
+    }
     for (const Candidate &candidate : waiting) {
         place(candidate, board, now);
     }
@@ -165,12 +151,24 @@
 void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
     const std::vector<std::size_t> tasks = waitingTasks(candidate);
+    const ClaimKey claimKey{candidate.job->spec.id, candidate.occurrence, candidate.step};
+    const auto claim = m_claims.find(claimKey);
+    if (claim != m_claims.end()) {
+        reserve(claim->second, board, false);
+    }
     if (tasks.empty()) {
+        m_claims.erase(claimKey);
         return;
     }
     const PlacementNeed need = needOf(candidate, tasks);
     const bool gang = candidate.job->spec.steps[candidate.step].gang;
-    const std::vector<std::size_t> entries = gang ? placeTogether(board, need) : placeEach(board, need);
+    std::vector<std::size_t> entries;
+    if (claim != m_claims.end() && gang) {
+        entries = takeClaimed(claim->second, board);
+    }
+    if (entries.empty()) {
+        entries = gang ? placeTogether(board, need) : placeEach(board, need);
+    }
     if (!entries.empty()) {
         std::vector<WorkerId> workers;
         for (const std::size_t entry : entries) {
@@ -178,11 +176,17 @@
         }
         assign(candidate, tasks, workers, now);
     }
-    if (entries.size() < tasks.size() && candidate.guaranteed) {
-        PlacementNeed rest = need;
-        rest.tasks = tasks.size() - entries.size();
-        reclaim(candidate, rest, board, now);
+    if (entries.size() == tasks.size() || !candidate.guaranteed) {
+        m_claims.erase(claimKey);
+        return;
+    }
+    if (claim != m_claims.end() && entries.empty()) {
+        reserve(claim->second, board, true);
+        return;
     }
+    PlacementNeed rest = need;
+    rest.tasks = tasks.size() - entries.size();
+    reclaim(candidate, rest, board, now);
 }
 
 void JobEngine::assign(const Candidate &candidate,
@@ -238,73 +242,4 @@
               {"configuration", m_catalogue->version}});
 }
 
-std::set<JobId> JobEngine::guaranteedJobs() const
-{
-    std::map<OrganisationId, std::vector<const Job *>> urgent;
-    for (const auto &[id, job] : m_jobs) {
-        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
-            urgent[job.spec.organisation].push_back(&job);
-        }
-    }
-    std::set<JobId> covered;
-    for (auto &[id, jobs] : urgent) {
-        const OrganisationSpec *organisation = m_catalogue->organisation(id);
-        std::int64_t left = organisation == nullptr ? 0 : organisation->guaranteed.count();
-        std::sort(jobs.begin(), jobs.end(), [](const Job *one, const Job *other) {
-            return one->spec.acceptedAt < other->spec.acceptedAt;
-        });
-        for (const Job *job : jobs) {
-            const std::int64_t wanted = widestStep(job->spec);
-            if (wanted <= left) {
-                left -= wanted;
-                covered.insert(job->spec.id);
-            }
-        }
-    }
-    return covered;
-}
-
-std::optional<double> JobEngine::victimCost(const Run &run, int claimantPriority, MonotonicTime now) const
-{
-    const Job *job = this->job(run.task.job);
-    const QueueSpec *queue = job == nullptr ? nullptr : m_catalogue->queue(job->spec.queue);
-    if (queue == nullptr || queue->priority <= claimantPriority) {
-        return std::nullopt;
-    }
-    const StepSpec &step = job->step(run.task);
-    const double seconds = run.seenRunning ? std::chrono::duration<double>(now - run.runningSince).count() : 0.0;
-    const double lost = step.checkpoints ? 1.0 : 1.0 + seconds;
-    return weightOf(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
-}
-
-void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
-{
-    const std::optional<ReclaimPlan> plan
-        = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
-              return victimCost(run, candidate.queue->priority, now);
-          });
-    if (!plan) {
-        return;
-    }
-    for (const auto &[worker, key] : plan->victims) {
-        logEvent(LogLevel::Info,
-                 "run-preempted",
-                 {{"task", toString(key.first)},
-                  {"run", key.second},
-                  {"worker", worker},
-                  {"for_job", candidate.job->spec.id},
-                  {"organisation", candidate.job->spec.organisation}});
-        stopRun(worker, key);
-        Job *victim = findJob(key.first.job);
-        if (victim != nullptr && victim->step(key.first).gang) {
-            stopGang(*victim, key.first, key.second);
-        }
-    }
-    // Others must not take the room while the victims end.
-    for (const std::size_t entry : plan->entries) {
-        board.entries()[entry].open = false;
-    }
-}
-
 } // namespace coriander::workflow
--- /dev/null
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -0,0 +1,141 @@
+#include "corianderscale/Support/Log.h"
+#include "corianderscale/Workflow/JobEngine.h"
+#include "corianderscale/Workflow/Reclaim.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Weight of an accelerator against a core in the cost of lost work; the users' price counts it as 8 cores. */
+constexpr double CoresPerAccelerator = 8;
+
+double weightOf(const decision::Resources &resources)
+{
+    return static_cast<double>(resources.cores.count()) / 1000.0
+        + CoresPerAccelerator * static_cast<double>(resources.accelerators.count());
+}
+
+std::int64_t widestStep(const JobSpec &job)
+{
+    std::int64_t widest = 0;
+    for (const StepSpec &step : job.steps) {
+        widest = std::max(widest, static_cast<std::int64_t>(step.tasks) * step.perTask.accelerators.count());
+    }
+    return widest;
+}
+
+} // namespace
+
+void JobEngine::reserve(const Claim &claim, PlacementBoard &board, bool taken)
+{
+    for (const WorkerId &worker : claim.workers) {
+        if (const std::optional<std::size_t> entry = board.find(worker)) {
+            decision::Resources &room = board.entries()[*entry].room;
+            room = taken ? minus(room, claim.perTask) : plus(room, claim.perTask);
+        }
+    }
+}
+
+std::vector<std::size_t> JobEngine::takeClaimed(const Claim &claim, PlacementBoard &board)
+{
+    std::vector<std::size_t> entries;
+    for (const WorkerId &worker : claim.workers) {
+        const std::optional<std::size_t> entry = board.find(worker);
+        const bool fits
+            = entry && board.entries()[*entry].open && fitsInto(claim.perTask, board.entries()[*entry].room);
+        if (!fits) {
+            for (const std::size_t taken : entries) {
+                board.entries()[taken].room = plus(board.entries()[taken].room, claim.perTask);
+            }
+            return {};
+        }
+        board.entries()[*entry].room = minus(board.entries()[*entry].room, claim.perTask);
+        entries.push_back(*entry);
+    }
+    return entries;
+}
+
+void JobEngine::dropOldClaims(MonotonicTime now)
+{
+    std::erase_if(m_claims, [this, now](const auto &each) {
+        const Job *job = this->job(std::get<JobId>(each.first));
+        return job == nullptr || isFinal(job->state) || now - each.second.madeAt > m_times.claimTime;
+    });
+}
+
+std::set<JobId> JobEngine::guaranteedJobs() const
+{
+    std::map<OrganisationId, std::vector<const Job *>> urgent;
+    for (const auto &[id, job] : m_jobs) {
+        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
+        if (queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
+            urgent[job.spec.organisation].push_back(&job);
+        }
+    }
+    std::set<JobId> covered;
+    for (auto &[id, jobs] : urgent) {
+        const OrganisationSpec *organisation = m_catalogue->organisation(id);
+        std::int64_t left = organisation == nullptr ? 0 : organisation->guaranteed.count();
+        std::sort(jobs.begin(), jobs.end(), [](const Job *one, const Job *other) {
+            return one->spec.acceptedAt < other->spec.acceptedAt;
+        });
+        for (const Job *job : jobs) {
+            const std::int64_t wanted = widestStep(job->spec);
+            if (wanted <= left) {
+                left -= wanted;
+                covered.insert(job->spec.id);
+            }
+        }
+    }
+    return covered;
+}
+
+std::optional<double> JobEngine::victimCost(const Run &run, int claimantPriority, MonotonicTime now) const
+{
+    const Job *job = this->job(run.task.job);
+    const QueueSpec *queue = job == nullptr ? nullptr : m_catalogue->queue(job->spec.queue);
+    if (queue == nullptr || queue->priority <= claimantPriority) {
+        return std::nullopt;
+    }
+    const StepSpec &step = job->step(run.task);
+    const double seconds = run.seenRunning ? std::chrono::duration<double>(now - run.runningSince).count() : 0.0;
+    const double lost = step.checkpoints ? 1.0 : 1.0 + seconds;
+    return weightOf(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
+}
+
+void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
+{
+    const std::optional<ReclaimPlan> plan
+        = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
+              return victimCost(run, candidate.queue->priority, now);
+          });
+    if (!plan) {
+        return;
+    }
+    for (const auto &[worker, key] : plan->victims) {
+        logEvent(LogLevel::Info,
+                 "run-preempted",
+                 {{"task", toString(key.first)},
+                  {"run", key.second},
+                  {"worker", worker},
+                  {"for_job", candidate.job->spec.id},
+                  {"organisation", candidate.job->spec.organisation}});
+        stopRun(worker, key);
+        Job *victim = findJob(key.first.job);
+        if (victim != nullptr && victim->step(key.first).gang) {
+            stopGang(*victim, key.first, key.second);
+        }
+    }
+    Claim claim;
+    claim.perTask = need.perTask;
+    claim.madeAt = now;
+    for (const std::size_t entry : plan->entries) {
+        claim.workers.push_back(board.entries()[entry].worker->report.id);
+    }
+    reserve(claim, board, true);
+    m_claims[{candidate.job->spec.id, candidate.occurrence, candidate.step}] = std::move(claim);
+}
+
+} // namespace coriander::workflow
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -167,6 +167,18 @@
     }
 }
 
+std::optional<std::size_t> PlacementBoard::find(const WorkerId &worker) const
+{
+    const auto found = std::lower_bound(
+        m_entries.begin(), m_entries.end(), worker, [](const BoardEntry &entry, const WorkerId &id) {
+            return entry.worker->report.id < id;
+        });
+    if (found == m_entries.end() || found->worker->report.id != worker) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - m_entries.begin());
+}
+
 std::vector<std::size_t> PlacementBoard::eligible(const PlacementNeed &need) const
 {
     std::vector<std::size_t> indices;
--- a/unittests/Workflow/EngineWorld.h
+++ b/unittests/Workflow/EngineWorld.h
@@ -40,7 +40,7 @@
             queue.stretch = 3;
             made->queues.push_back(queue);
         }
-        made->organisations.push_back({OrganisationId("org"), {"key"}, Accelerators(16)});
+        made->organisations.push_back({OrganisationId("org"), {"key"}, Accelerators(48)});
         made->index();
         catalogue = made;
         tick();
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -187,6 +187,8 @@
     /** Called on every accepted start; may be empty. */
     std::function<void(const TaskKey &, std::int64_t run)> onStart;
     OrderFaults faults;
+    /** Ends by a stop so far. */
+    std::size_t stopped = 0;
 
 private:
     template<typename Answer>
@@ -389,10 +391,11 @@
         }
         const std::uint64_t serial = run->second.serial;
         m_timeline.after(milliseconds(200), [this, id = target.worker, key, serial] {
-            Machine &stopped = m_machines.at(id);
-            const auto found = stopped.runs.find(key);
-            if (found != stopped.runs.end() && found->second.serial == serial) {
-                end(stopped, key, EndKind::Stopped);
+            Machine &host = m_machines.at(id);
+            const auto found = host.runs.find(key);
+            if (found != host.runs.end() && found->second.serial == serial) {
+                end(host, key, EndKind::Stopped);
+                ++stopped;
                 if (m_truth.at({key.first.job, key.first.step}).gang) {
                     breakGang(key, EndKind::GangBroken);
                 }
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -78,6 +78,24 @@
     EXPECT_EQ(m_world.workers.starts(task("urgent", 0, 1)), 1U);
 }
 
+// Guards against room that is made for one job and taken by another, so that ever more work is stopped.
+TEST_F(Engine, roomThatWasMadeIsKeptForItsJob)
+{
+    m_world.submit(m_world.job("bulk", 2, {stepOf(48, 1, 1)}), {.work = seconds(30)});
+    m_world.runFor(seconds(1));
+    StepSpec gang = stepOf(2, 1, 8);
+    gang.gang = true;
+    m_world.submit(m_world.job("urgent1", 0, {gang}), {.work = seconds(2)});
+    m_world.runFor(milliseconds(100));
+    StepSpec small = stepOf(1, 1, 4);
+    small.estimate = seconds(1);
+    m_world.submit(m_world.job("urgent2", 0, {small}), {.work = seconds(2)});
+    m_world.runFor(milliseconds(900));
+    EXPECT_EQ(m_world.workers.starts(task("urgent1", 0, 0)), 1U);
+    EXPECT_EQ(m_world.workers.starts(task("urgent2", 0, 0)), 1U);
+    EXPECT_EQ(m_world.workers.stopped, 20U);
+}
+
 // Guards against endless retries, and against a failed job that a new owner starts again.
 TEST_F(Engine, failedJobStaysFailedAfterAChangeOfOwner)
 {
