workflow: notice slow and stalled workers, drop answers of earlier lives

And from 1,000 random histories of the engine's test, once its workers stalled: answers of an earlier life of a worker were taken for the present one's (TWICE), leases of orders that the new life had taken were taken for ended (TWICE), ends of a new life were dropped under old numbers (TWICE), and a run without a known job took no room (LIMIT). Change: rates of runs against those of their peers; a worker below half is left alone for 4 s, and a run that is late only there moves. Answers carry the incarnation that they were asked of; ends are dropped at a worker only after lists of the same life.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -23,8 +23,16 @@
 struct EngineTimes {
     /** Lease of the runs on a worker; under the deployment's longest lease and over a change of owner. */
     Duration lease = std::chrono::seconds(8);
+    /** Longest lease that a worker grants, whatever an order says; the deployment's. */
+    Duration longestLease = std::chrono::seconds(10);
+    /** Addition to leases whose end is not known from the worker's clock, for clocks that run slow by 2%. */
+    Duration leaseRounding = std::chrono::milliseconds(500);
     /** How long a hold waits for an end; a few a lease, so that one lost answer does no harm. */
     Duration holdWait = std::chrono::milliseconds(1500);
+    /** The same where urgent runs are watched for standing still. */
+    Duration urgentHoldWait = std::chrono::milliseconds(600);
+    /** A worker whose lists are older may have started again under its id meanwhile; above the pause for the store. */
+    Duration sameLifeTime = std::chrono::milliseconds(1500);
     /** How long an order may go without an answer; an order that is not delayed takes a few ms. */
     Duration orderLimit = std::chrono::milliseconds(1000);
     /** Pause after an order without an answer. */
@@ -164,18 +172,26 @@
 
     // JobEngineOrders.cpp
     void sendStart(Worker &worker, Run &run);
-    void startAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer);
+    /** The worker in the life that an order went to; answers of an earlier life say nothing of the present one. */
+    struct Addressee {
+        WorkerId worker;
+        Incarnation incarnation;
+    };
+    static Addressee addresseeOf(const Worker &worker);
+    Worker *findAddressee(const Addressee &to);
+    void startAnswered(const Addressee &to, const RunKey &key, const OrderAnswer &answer);
     void sendDueStops(Worker &worker, MonotonicTime now);
-    void stopAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer);
+    void stopAnswered(const Addressee &to, const RunKey &key, const OrderAnswer &answer);
     void sendDueHold(Worker &worker, MonotonicTime now);
     bool holdDue(const Worker &worker, MonotonicTime now) const;
-    void holdAnswered(const WorkerId &id, const HoldAnswer &answer);
+    void holdAnswered(const Addressee &to, std::int64_t recorded, const HoldAnswer &answer);
     void takeEnds(Worker &worker, const std::vector<EndedTask> &ends);
     /** A later run of a waiting task gets a higher number than @p run. */
     void noteRunNumber(const TaskKey &key, std::int64_t run);
     void takeRunning(Worker &worker, const std::vector<RunningTask> &running);
     void checkUnlisted(Worker &worker, const HoldAnswer &answer);
     bool noteAnswer(Worker &worker, const OrderAnswer &answer);
+    Duration holdWait(const Worker &worker) const;
     std::optional<WorkerClockMs> nextLease(Worker &worker);
     OrderTarget targetOf(const Worker &worker) const;
     void expireLeases(MonotonicTime now);
@@ -183,6 +199,8 @@
     // JobEnginePlan.cpp
     void plan(MonotonicTime now);
     std::vector<Candidate> candidates(MonotonicTime now);
+    /** When an occurrence is late, given the time of its longest chain of steps. */
+    MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
@@ -203,6 +221,24 @@
     std::vector<std::size_t> takeClaimed(const Claim &claim, PlacementBoard &board);
     void dropOldClaims(MonotonicTime now);
 
+    // JobEngineWatch.cpp
+    struct WatchedRun {
+        Worker *worker = nullptr;
+        Run *run = nullptr;
+    };
+    /** Finds workers that are slow or stand still, and moves work from them that would be late there only. */
+    void watch(MonotonicTime now);
+    std::vector<WatchedRun> watchedRuns(const Job &job, std::size_t occurrence, std::size_t step);
+    void watchStep(Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now);
+    void noteSlow(Worker &worker, const Run &run, double reference, MonotonicTime now);
+    bool worthMoving(const Job &job,
+                     const QueueSpec &queue,
+                     const Run &run,
+                     double reference,
+                     bool stalled,
+                     MonotonicTime now) const;
+    void moveRun(Job &job, const Run &run);
+
     EngineTimes m_times;
     Clock m_clock;
     Epoch m_epoch;
@@ -220,6 +256,7 @@
     MonotonicTime m_startedAt;
     MonotonicTime m_termConfirmedAt;
     MonotonicTime m_nextPlanAt;
+    MonotonicTime m_nextWatchAt;
     bool m_planWanted = true;
     bool m_superseded = false;
     /** Expires with the engine; completions of orders hold a weak reference. */
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -12,6 +12,10 @@
 struct Task : TaskRecord {
     /** Workers on which a run of it failed; others are tried first. */
     std::set<WorkerId> failedOn;
+    /** Share of the work that the checkpoint holds, 0 to 100, as far as it is known. */
+    int checkpointPercent = 0;
+    /** How often it was moved off a slow worker. */
+    int moves = 0;
     /** Since when it could run. */
     MonotonicTime waitingSince;
 };
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -32,8 +32,8 @@
 };
 
 /**
- * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `processor_share`, `longest_lease_ms`,
- * `grace_s` and `log_level`.
+ * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `processor_share`,
+ * `longest_lease_ms`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
--- a/include/corianderscale/Workflow/Reclaim.h
+++ b/include/corianderscale/Workflow/Reclaim.h
@@ -25,7 +25,8 @@
  *
  * Thread safety: pure but for the hook.
  */
-std::optional<ReclaimPlan>
-planReclaim(const PlacementBoard &board, const PlacementNeed &need, const VictimCost &costOf);
+std::optional<ReclaimPlan> planReclaim(const PlacementBoard &board,
+                                       const PlacementNeed &need,
+                                       const VictimCost &costOf);
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/WorkerBook.h
+++ b/include/corianderscale/Workflow/WorkerBook.h
@@ -38,6 +38,10 @@
     int percent = 0;
     /** When @c percent last rose. */
     MonotonicTime progressedAt;
+    /** Percent a second between the last two samples. */
+    std::optional<double> rate;
+    int samplePercent = 0;
+    MonotonicTime sampledAt;
     bool stopWanted = false;
     bool stopInFlight = false;
     /** When the worker confirmed a stop: it refuses this run from then on. */
@@ -65,10 +69,14 @@
     /** Latest lease end in any order of this term. */
     WorkerClockMs leaseUntil;
     bool leaseGiven = false;
+    /** When leases that orders of an earlier term, or to an earlier life, may have given have ended. */
+    MonotonicTime foreignLeasesOver;
     bool holdInFlight = false;
     MonotonicTime holdSentAt;
     MonotonicTime nextHoldAt;
     MonotonicTime lastAnswerAt;
+    /** When its lists last came, which name its life. */
+    MonotonicTime lastHoldAt;
     /** Whether it answered in this term, so that its runs are known. */
     bool known = false;
     /** Calls in a row without an answer. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -69,6 +69,7 @@
                 if (worker.report.id.empty()) {
                     worker.report.id = task.worker;
                     worker.report.incarnation = task.incarnation;
+                    worker.foreignLeasesOver = m_startedAt + m_times.grantTime + m_times.lease + m_times.leaseRounding;
                 }
                 Run run;
                 run.task = {id, k, s, i};
@@ -283,6 +284,7 @@
     }
     const MonotonicTime now = m_clock.now();
     expireLeases(now);
+    watch(now);
     if (m_planWanted || now >= m_nextPlanAt) {
         plan(now);
     }
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Addition to a lease for clocks that run slow by 2%, and for timers. */
-constexpr Duration LeaseRounding = std::chrono::milliseconds(1200);
-
 const char *outcomeName(OrderOutcome outcome)
 {
     switch (outcome) {
@@ -134,18 +131,30 @@
               {"worker", worker.report.id},
               {"epoch", m_epoch},
               {"resumes", !order.checkpoint.empty()}});
-    m_orders.start(targetOf(worker),
-                   order,
-                   [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, key](const OrderAnswer &answer) {
-                       if (alive.lock()) {
-                           startAnswered(id, key, answer);
-                       }
-                   });
+    m_orders.start(
+        targetOf(worker),
+        order,
+        [this, alive = std::weak_ptr<int>(m_alive), to = addresseeOf(worker), key](const OrderAnswer &answer) {
+            if (alive.lock()) {
+                startAnswered(to, key, answer);
+            }
+        });
+}
+
+JobEngine::Addressee JobEngine::addresseeOf(const Worker &worker)
+{
+    return {worker.report.id, worker.report.incarnation};
+}
+
+Worker *JobEngine::findAddressee(const Addressee &to)
+{
+    Worker *worker = m_workers.find(to.worker);
+    return worker != nullptr && worker->report.incarnation == to.incarnation ? worker : nullptr;
 }
 
-void JobEngine::startAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer)
+void JobEngine::startAnswered(const Addressee &to, const RunKey &key, const OrderAnswer &answer)
 {
-    Worker *worker = m_workers.find(id);
+    Worker *worker = findAddressee(to);
     if (worker == nullptr) {
         return;
     }
@@ -165,7 +174,7 @@
              "run-start-not-done",
              {{"task", toString(key.first)},
               {"run", key.second},
-              {"worker", id},
+              {"worker", to.worker},
               {"outcome", outcomeName(answer.outcome)},
               {"reason", answer.reason}});
     if (answer.outcome == OrderOutcome::Unknown) {
@@ -197,23 +206,23 @@
             continue;
         }
         run.stopInFlight = true;
-        m_orders.stop(
-            targetOf(worker),
-            {run.task, run.number},
-            [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, key = key](const OrderAnswer &answer) {
-                if (alive.lock()) {
-                    stopAnswered(id, key, answer);
-                }
-            });
+        m_orders.stop(targetOf(worker),
+                      {run.task, run.number},
+                      [this, alive = std::weak_ptr<int>(m_alive), to = addresseeOf(worker), key = key](
+                          const OrderAnswer &answer) {
+                          if (alive.lock()) {
+                              stopAnswered(to, key, answer);
+                          }
+                      });
     }
     for (const RunKey &key : neverSent) {
         runGone(worker, key, "stopped before its start was sent");
     }
 }
 
-void JobEngine::stopAnswered(const WorkerId &id, const RunKey &key, const OrderAnswer &answer)
+void JobEngine::stopAnswered(const Addressee &to, const RunKey &key, const OrderAnswer &answer)
 {
-    Worker *worker = m_workers.find(id);
+    Worker *worker = findAddressee(to);
     if (worker == nullptr) {
         return;
     }
@@ -244,16 +253,30 @@
     return !worker.known || !worker.runs.empty() || worker.endsRecorded > worker.endsReported || worker.silentCalls > 0;
 }
 
+Duration JobEngine::holdWait(const Worker &worker) const
+{
+    const bool urgent = std::any_of(worker.runs.begin(), worker.runs.end(), [this](const auto &each) {
+        const Job *job = this->job(each.first.first.job);
+        const QueueSpec *queue = job == nullptr || !m_catalogue ? nullptr : m_catalogue->queue(job->spec.queue);
+        return queue != nullptr && queue->priority == 0;
+    });
+    return urgent ? m_times.urgentHoldWait : m_times.holdWait;
+}
+
 void JobEngine::sendDueHold(Worker &worker, MonotonicTime now)
 {
     if (!holdDue(worker, now)) {
         return;
     }
     HoldOrder order;
-    order.recordedThrough = worker.endsRecorded;
-    const bool canWait = worker.known && !worker.runs.empty() && worker.silentCalls == 0;
+    // Ends are numbered anew by each life of a worker, so they are dropped there only when its life is sure.
+    const bool sameLife = worker.known && worker.silentCalls == 0 && now - worker.lastHoldAt < m_times.sameLifeTime;
+    if (sameLife) {
+        order.recordedThrough = worker.endsRecorded;
+    }
+    const bool canWait = sameLife && !worker.runs.empty();
     if (canWait) {
-        order.wait = m_times.holdWait;
+        order.wait = holdWait(worker);
     }
     // A worker that does not answer is only looked at, so that its leases end at a known time.
     if (!worker.runs.empty() && worker.silentCalls == 0) {
@@ -261,26 +284,26 @@
     }
     worker.holdInFlight = true;
     worker.holdSentAt = now;
-    m_orders.hold(targetOf(worker),
-                  order,
-                  [this, alive = std::weak_ptr<int>(m_alive), id = worker.report.id, recorded = order.recordedThrough](
-                      const HoldAnswer &answer) {
-                      if (!alive.lock()) {
-                          return;
-                      }
-                      if (Worker *held = m_workers.find(id); held != nullptr && answer.outcome == OrderOutcome::Done) {
-                          held->endsReported = std::max(held->endsReported, recorded);
-                      }
-                      holdAnswered(id, answer);
-                  });
+    m_orders.hold(
+        targetOf(worker),
+        order,
+        [this, alive = std::weak_ptr<int>(m_alive), to = addresseeOf(worker), recorded = order.recordedThrough](
+            const HoldAnswer &answer) {
+            if (alive.lock()) {
+                holdAnswered(to, recorded, answer);
+            }
+        });
 }
 
-void JobEngine::holdAnswered(const WorkerId &id, const HoldAnswer &answer)
+void JobEngine::holdAnswered(const Addressee &to, std::int64_t recorded, const HoldAnswer &answer)
 {
-    Worker *worker = m_workers.find(id);
+    Worker *worker = findAddressee(to);
     if (worker == nullptr) {
         return;
     }
+    if (answer.outcome == OrderOutcome::Done) {
+        worker->endsReported = std::max(worker->endsReported, recorded);
+    }
     const MonotonicTime now = m_clock.now();
     worker->holdInFlight = false;
     worker->nextHoldAt = now + m_times.retryAfter;
@@ -294,12 +317,8 @@
     if (!worker->known) {
         worker->known = true;
         m_planWanted = true;
-        // Leases that an earlier owner gave before this answer end no later than this.
-        const std::int64_t leaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.lease).count();
-        worker->leaseUntil
-            = std::max(worker->leaseUntil, answer.clock.value_or(WorkerClockMs()) + WorkerClockMs(leaseMs));
-        worker->leaseGiven = true;
     }
+    worker->lastHoldAt = now;
     takeEnds(*worker, answer.ended);
     takeRunning(*worker, answer.running);
     checkUnlisted(*worker, answer);
@@ -344,7 +363,6 @@
 
 void JobEngine::expireLeases(MonotonicTime now)
 {
-    const MonotonicTime earlierTermsOver = m_startedAt + m_times.grantTime + m_times.lease + LeaseRounding;
     std::vector<WorkerId> gone;
     for (auto &[id, worker] : m_workers.all()) {
         if (worker.runs.empty()) {
@@ -354,7 +372,7 @@
             continue;
         }
         const bool silent = worker.silentCalls > 0 || !worker.known;
-        const bool over = worker.leaseGiven ? leaseSurelyEnded(worker, now) : now > earlierTermsOver;
+        const bool over = now > worker.foreignLeasesOver && (!worker.leaseGiven || leaseSurelyEnded(worker, now));
         if (silent && over) {
             workerLost(worker, "all its leases have ended");
         }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -29,6 +29,11 @@
     return longest;
 }
 
+WallTime dueTime(const JobSpec &job, std::size_t occurrence)
+{
+    return job.firstDue + job.interval * static_cast<std::int64_t>(occurrence) + DueMargin;
+}
+
 } // namespace
 
 void JobEngine::plan(MonotonicTime now)
@@ -79,19 +84,24 @@
     return found;
 }
 
+MonotonicTime JobEngine::objectiveOf(const Job &job,
+                                     const QueueSpec &queue,
+                                     std::size_t occurrence,
+                                     Duration chain) const
+{
+    const MonotonicTime since = job.spec.occurrences > 0
+        ? toMonotonic(dueTime(job.spec, occurrence), m_clock)
+        : std::min(job.seenAt, toMonotonic(job.spec.acceptedAt, m_clock));
+    return since + std::chrono::duration_cast<Duration>(chain * queue.stretch) + queue.objectiveSlack;
+}
+
 void JobEngine::addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into)
 {
     const Duration chain = chainEstimate(job.spec);
-    const auto stretched = std::chrono::duration_cast<Duration>(chain * queue.stretch);
     const WallTime wallNow = m_clock.wallNow();
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        MonotonicTime since = std::min(job.seenAt, toMonotonic(job.spec.acceptedAt, m_clock));
-        if (job.spec.occurrences > 0) {
-            const WallTime due = job.spec.firstDue + job.spec.interval * static_cast<std::int64_t>(k) + DueMargin;
-            if (wallNow < due) {
-                break;
-            }
-            since = toMonotonic(due, m_clock);
+        if (job.spec.occurrences > 0 && wallNow < dueTime(job.spec, k)) {
+            break;
         }
         for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
             if (job.stepDone(k, s) || !job.stepReady(k, s)) {
@@ -102,7 +112,7 @@
             candidate.occurrence = k;
             candidate.step = s;
             candidate.queue = &queue;
-            candidate.objective = since + stretched + queue.objectiveSlack;
+            candidate.objective = objectiveOf(job, queue, k, chain);
             candidate.late = now + job.spec.steps[s].estimate > candidate.objective;
             into.push_back(candidate);
         }
@@ -199,11 +209,16 @@
     Occurrence &occurrence = job.occurrences[candidate.occurrence];
     std::vector<Task> &all = occurrence.steps[candidate.step];
     std::int64_t gangRun = 0;
-    std::string gangCheckpoint;
+    // A checkpoint of any member is valid for the gang, so all resume from the furthest one.
+    const Task *furthest = nullptr;
     for (const Task &task : all) {
         gangRun = std::max(gangRun, task.run + 1);
-        gangCheckpoint = std::max(gangCheckpoint, task.checkpoint);
+        if (!task.checkpoint.empty() && (furthest == nullptr || task.checkpointPercent > furthest->checkpointPercent)) {
+            furthest = &task;
+        }
     }
+    const std::string gangCheckpoint = furthest == nullptr ? std::string() : furthest->checkpoint;
+    const int gangPercent = furthest == nullptr ? 0 : furthest->checkpointPercent;
     for (std::size_t i = 0; i < workers.size(); ++i) {
         Worker &worker = *m_workers.find(workers[i]);
         Task &task = all[tasks[i]];
@@ -211,8 +226,9 @@
         task.phase = TaskPhase::Assigned;
         task.worker = workers[i];
         task.incarnation = worker.report.incarnation;
-        if (step.gang) {
+        if (step.gang && furthest != nullptr) {
             task.checkpoint = gangCheckpoint;
+            task.checkpointPercent = gangPercent;
         }
         Run run;
         run.task = {job.spec.id, candidate.occurrence, candidate.step, tasks[i]};
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -7,11 +7,14 @@
 
 /** Failed runs in a row, of any tasks, after which a worker is avoided; one may be the task's own fault. */
 constexpr int FailuresBeforeAvoiding = 2;
+/** Least time over which a rate is taken; shorter ones are dominated by whole percents. */
+constexpr Duration SampleTime = std::chrono::milliseconds(400);
 
 /** Forgets what was heard from an incarnation that is gone. */
 void resetSession(Worker &worker)
 {
     worker.known = false;
+    worker.holdInFlight = false;
     worker.clock.reset();
     worker.leaseGiven = false;
     worker.leaseUntil = WorkerClockMs();
@@ -162,6 +165,12 @@
     }
     // A start order without an answer may have reached the new life, so the other runs are looked for there.
     for (auto &[key, run] : worker.runs) {
+        run.stopInFlight = false;
+        run.stopConfirmedAt.reset();
+        if (run.start != StartState::NotSent) {
+            run.start = StartState::Unclear;
+            run.startSettledAt = m_clock.now();
+        }
         Job *job = findJob(key.first.job);
         if (job != nullptr && job->task(key.first).run == key.second) {
             job->task(key.first).incarnation = incarnation;
@@ -169,6 +178,7 @@
         }
     }
     resetSession(worker);
+    worker.foreignLeasesOver = m_clock.now() + m_times.longestLease + m_times.leaseRounding;
     worker.report.incarnation = incarnation;
 }
 
@@ -267,6 +277,8 @@
             orphan.number = each.run;
             orphan.start = StartState::Accepted;
             orphan.startSettledAt = now;
+            // What it takes is not known without its job, so nothing else may start there until it is gone.
+            orphan.resources = worker.report.capacity;
             if (const Job *job = findJob(each.task.job); job != nullptr && each.task.step < job->spec.steps.size()) {
                 orphan.resources = job->step(each.task).perTask;
             }
@@ -284,15 +296,24 @@
             run.seenRunning = true;
             run.runningSince = now;
             run.progressedAt = now;
+            run.sampledAt = now;
+            run.samplePercent = each.percent;
         }
         if (each.percent > run.percent) {
             run.percent = each.percent;
             run.progressedAt = now;
         }
+        if (now - run.sampledAt >= SampleTime) {
+            const double seconds = std::chrono::duration<double>(now - run.sampledAt).count();
+            run.rate = (run.percent - run.samplePercent) / seconds;
+            run.samplePercent = run.percent;
+            run.sampledAt = now;
+        }
         run.start = StartState::Accepted;
         Job *job = findJob(each.task.job);
         if (job != nullptr && !each.checkpoint.empty() && job->task(each.task).run == each.run) {
             job->task(each.task).checkpoint = each.checkpoint;
+            job->task(each.task).checkpointPercent = each.percent;
         }
     }
 }
--- /dev/null
+++ b/lib/Workflow/JobEngineWatch.cpp
@@ -0,0 +1,162 @@
+#include "corianderscale/Support/Log.h"
+#include "corianderscale/Workflow/JobEngine.h"
+
+#include <algorithm>
+
+namespace coriander::workflow {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** Time between two passes; a worker lists percents once or twice a second. */
+constexpr Duration WatchEvery = std::chrono::milliseconds(300);
+/** A run slower than this share of its peers is on a slow worker; sound workers differ by 0.8 to 1.25. */
+constexpr double SlowShare = 0.5;
+/** A run without a new percent for this long stands still; a percent of a long task takes 0.1 s. */
+constexpr Duration StallTime = std::chrono::milliseconds(1200);
+/** How long a run that stands still is expected to do so; workers stall for seconds at a time. */
+constexpr double StallSeconds = 3;
+/** Time to stop a run and start its task elsewhere. */
+constexpr double MoveSeconds = 0.6;
+/** How long a slow worker gets no work after the last sign of it. */
+constexpr Duration SlowTime = std::chrono::seconds(4);
+/** Moves of one task after which it stays where it is, because the fault may be its own. */
+constexpr int MostMoves = 2;
+constexpr double FullPercent = 100;
+
+/** The upper median of the rates, which a few slow peers do not lower; 0 without any. */
+double referenceRate(std::vector<double> rates)
+{
+    std::erase_if(rates, [](double rate) { return rate <= 0; });
+    if (rates.empty()) {
+        return 0;
+    }
+    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    return *middle;
+}
+
+} // namespace
+
+void JobEngine::watch(MonotonicTime now)
+{
+    if (now < m_nextWatchAt || !m_catalogue) {
+        return;
+    }
+    m_nextWatchAt = now + WatchEvery;
+    for (auto &[id, job] : m_jobs) {
+        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
+        if (isFinal(job.state) || queue == nullptr) {
+            continue;
+        }
+        for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+            for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+                watchStep(job, *queue, k, s, now);
+            }
+        }
+    }
+}
+
+std::vector<JobEngine::WatchedRun> JobEngine::watchedRuns(const Job &job, std::size_t occurrence, std::size_t step)
+{
+    std::vector<WatchedRun> watched;
+    const std::vector<Task> &tasks = job.occurrences[occurrence].steps[step];
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].phase != TaskPhase::Assigned) {
+            continue;
+        }
+        Worker *worker = m_workers.find(tasks[i].worker);
+        const RunKey key{{job.spec.id, occurrence, step, i}, tasks[i].run};
+        const auto run = worker == nullptr ? decltype(worker->runs.end()){} : worker->runs.find(key);
+        if (worker != nullptr && run != worker->runs.end() && run->second.seenRunning && worker->silentCalls == 0) {
+            watched.push_back({worker, &run->second});
+        }
+    }
+    return watched;
+}
+
+void JobEngine::watchStep(Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now)
+{
+    const std::vector<WatchedRun> runs = watchedRuns(job, occurrence, step);
+    std::vector<double> rates;
+    for (const WatchedRun &watched : runs) {
+        rates.push_back(watched.run->rate.value_or(0));
+    }
+    const double reference = referenceRate(std::move(rates));
+    const bool gang = job.spec.steps[step].gang;
+    for (const WatchedRun &watched : runs) {
+        const Run &run = *watched.run;
+        if (run.percent >= FullPercent || run.stopWanted) {
+            continue;
+        }
+        // A gang without any progress waits for a member and says nothing of its workers.
+        const bool peersMove = !gang || reference > 0;
+        const bool stalled = peersMove && watched.worker->lastHoldAt - run.progressedAt >= StallTime;
+        const bool slow = run.rate && *run.rate < SlowShare * reference;
+        if (!stalled && !slow) {
+            continue;
+        }
+        noteSlow(*watched.worker, run, reference, now);
+        if (worthMoving(job, queue, run, reference, stalled, now)) {
+            moveRun(job, run);
+            return;
+        }
+    }
+}
+
+void JobEngine::noteSlow(Worker &worker, const Run &run, double reference, MonotonicTime now)
+{
+    if (worker.avoidedUntil <= now) {
+        logEvent(LogLevel::Warning,
+                 "worker-slow",
+                 {{"worker", worker.report.id},
+                  {"task", toString(run.task)},
+                  {"percent_per_s", run.rate.value_or(0)},
+                  {"peers", reference}});
+    }
+    worker.avoidedUntil = std::max(worker.avoidedUntil, now + SlowTime);
+}
+
+bool JobEngine::worthMoving(
+    const Job &job, const QueueSpec &queue, const Run &run, double reference, bool stalled, MonotonicTime now) const
+{
+    const StepSpec &step = job.step(run.task);
+    const Task &task = job.occurrences[run.task.occurrence].steps[run.task.step][run.task.index];
+    if (task.moves >= MostMoves || step.longRunning) {
+        return false;
+    }
+    const double estimated = std::chrono::duration_cast<Seconds>(step.estimate).count();
+    const double whole = reference > 0 ? FullPercent / reference : estimated;
+    const double left = (FullPercent - run.percent) / FullPercent;
+    const double here = stalled ? left * whole + StallSeconds : (FullPercent - run.percent) / run.rate.value_or(1);
+    const double kept = task.checkpoint.empty() ? 0 : task.checkpointPercent / FullPercent;
+    const double there = (1 - kept) * whole + MoveSeconds;
+    const auto chain = std::chrono::duration_cast<Duration>(Seconds(whole));
+    const MonotonicTime objective = objectiveOf(job, queue, run.task.occurrence, chain);
+    const auto after = [now](double seconds) {
+        return now + std::chrono::duration_cast<Duration>(Seconds(seconds));
+    };
+    return after(here) > objective && after(there) <= objective;
+}
+
+void JobEngine::moveRun(Job &job, const Run &run)
+{
+    const TaskKey key = run.task;
+    const std::int64_t number = run.number;
+    Task &task = job.task(key);
+    ++task.moves;
+    logEvent(LogLevel::Info,
+             "run-moved",
+             {{"task", toString(key)}, {"run", number}, {"worker", task.worker}, {"percent", run.percent}});
+    task.failedOn.insert(task.worker);
+    stopRun(task.worker, {key, number});
+    if (job.step(key).gang) {
+        for (Task &member : job.occurrences[key.occurrence].steps[key.step]) {
+            member.moves = task.moves;
+        }
+        stopGang(job, key, number);
+    }
+}
+
+} // namespace coriander::workflow
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -123,8 +123,7 @@
 };
 
 /** The rack with the fewest open slots that still holds all tasks. */
-std::optional<std::size_t>
-tightestRack(const PlacementBoard &board, const Fitting &fitting, const PlacementNeed &need)
+std::optional<std::size_t> tightestRack(const PlacementBoard &board, const Fitting &fitting, const PlacementNeed &need)
 {
     std::vector<std::size_t> slots(board.rackCount());
     for (const std::size_t index : fitting.eligible()) {
@@ -148,9 +147,7 @@
     for (const std::size_t index : fitting.eligible()) {
         slots[board.entries()[index].rack] += fitting.capacitySlots(index);
     }
-    return std::any_of(slots.begin(), slots.end(), [&need](std::size_t count) {
-        return count >= need.tasks;
-    });
+    return std::any_of(slots.begin(), slots.end(), [&need](std::size_t count) { return count >= need.tasks; });
 }
 
 } // namespace
@@ -169,10 +166,10 @@
 
 std::optional<std::size_t> PlacementBoard::find(const WorkerId &worker) const
 {
-    const auto found = std::lower_bound(
-        m_entries.begin(), m_entries.end(), worker, [](const BoardEntry &entry, const WorkerId &id) {
-            return entry.worker->report.id < id;
-        });
+    const auto found
+        = std::lower_bound(m_entries.begin(), m_entries.end(), worker, [](const BoardEntry &entry, const WorkerId &id) {
+              return entry.worker->report.id < id;
+          });
     if (found == m_entries.end() || found->worker->report.id != worker) {
         return std::nullopt;
     }
@@ -189,8 +186,7 @@
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
-        if (need.requiredLabel.empty()
-            || std::find(labels.begin(), labels.end(), need.requiredLabel) != labels.end()) {
+        if (need.requiredLabel.empty() || std::find(labels.begin(), labels.end(), need.requiredLabel) != labels.end()) {
             indices.push_back(i);
         }
     }
@@ -213,9 +209,7 @@
     const std::optional<std::size_t> rack = tightestRack(board, fitting, need);
     if (rack) {
         std::vector<std::size_t> inRack = fitting.eligible();
-        std::erase_if(inRack, [&board, &rack](std::size_t index) {
-            return board.entries()[index].rack != *rack;
-        });
+        std::erase_if(inRack, [&board, &rack](std::size_t index) { return board.entries()[index].rack != *rack; });
         return fitting.take(inRack);
     }
     if (anyRackCouldHold(board, fitting, need)) {
@@ -232,9 +226,7 @@
         return board.entries()[index].worker->report.rack == need.dataRack;
     };
     if (!need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
-        std::erase_if(entries, [&inDataRack](std::size_t index) {
-            return !inDataRack(index);
-        });
+        std::erase_if(entries, [&inDataRack](std::size_t index) { return !inDataRack(index); });
     }
     return fitting.take(entries);
 }
--- a/lib/Workflow/Reclaim.cpp
+++ b/lib/Workflow/Reclaim.cpp
@@ -99,8 +99,7 @@
 
 } // namespace
 
-std::optional<ReclaimPlan>
-planReclaim(const PlacementBoard &board, const PlacementNeed &need, const VictimCost &costOf)
+std::optional<ReclaimPlan> planReclaim(const PlacementBoard &board, const PlacementNeed &need, const VictimCost &costOf)
 {
     std::vector<Candidate> candidates;
     for (const std::size_t index : board.eligible(need)) {
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -98,8 +98,12 @@
         /** Ends up to this number are older than the last lapse of the lease. */
         std::int64_t lapsedThrough = 0;
         bool cut = false;
+        /** Whether its lists show no progress. */
+        bool standsStill = false;
         /** Whether it left for good. */
         bool gone = false;
+        /** Whether the process is not up yet. */
+        bool starting = false;
         std::int64_t clock(MonotonicTime now) const
         {
             return std::chrono::duration_cast<milliseconds>(now - born).count();
@@ -138,6 +142,8 @@
         machine.report = report;
         machine.report.incarnation = Incarnation(++m_incarnations);
         machine.born = m_timeline.now();
+        machine.starting = true;
+        m_timeline.after(milliseconds(200), [this, id] { m_machines.at(id).starting = false; });
     }
 
     std::map<WorkerId, Machine> &machines()
@@ -195,7 +201,8 @@
     void deliver(const OrderTarget &target, std::function<Answer()> run, std::function<void(const Answer &)> done)
     {
         const auto found = m_machines.find(target.worker);
-        const bool reachable = found != m_machines.end() && !found->second.cut && !found->second.gone;
+        const bool reachable
+            = found != m_machines.end() && !found->second.cut && !found->second.gone && !found->second.starting;
         const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
         Answer unknown;
         unknown.outcome = OrderOutcome::Unknown;
@@ -220,13 +227,28 @@
         }
         const bool answerLost = draw < faults.requestLost + faults.late + faults.answerLost;
         const int way = std::uniform_int_distribution<int>(1, 5)(m_random);
-        m_timeline.after(milliseconds(way), [this, run, done, lose, answerLost, way] {
+        // A connection ends with the process: what it carries is not taken by, or answered from, the next one.
+        const Incarnation life = found->second.report.incarnation;
+        const auto sameLife = [this, id = target.worker, life] {
+            return m_machines.at(id).report.incarnation == life;
+        };
+        m_timeline.after(milliseconds(way), [this, run, done, lose, answerLost, way, sameLife] {
+            if (!sameLife()) {
+                lose();
+                return;
+            }
             const Answer answer = run();
             if (answerLost) {
                 lose();
                 return;
             }
-            m_timeline.after(milliseconds(way), [done, answer] { done(answer); });
+            m_timeline.after(milliseconds(way), [done, answer, lose, sameLife] {
+                if (sameLife()) {
+                    done(answer);
+                } else {
+                    lose();
+                }
+            });
         });
     }
 
@@ -262,7 +284,7 @@
             answer.reason = "late";
             return answer;
         }
-        machine->leaseUntil = std::max(machine->leaseUntil, order.leaseUntil.count());
+        extendLease(*machine, order.leaseUntil);
         const auto refused = machine->refusedThrough.find(order.task);
         if (refused != machine->refusedThrough.end() && order.run <= refused->second) {
             answer.reason = "old";
@@ -273,20 +295,40 @@
         return answer;
     }
 
+    static std::string listRuns(const Machine &machine)
+    {
+        std::string text;
+        for (const auto &[key, run] : machine.runs) {
+            text += " " + toString(key.first) + "/" + std::to_string(key.second);
+        }
+        return text;
+    }
+
+    void extendLease(Machine &machine, WorkerClockMs until)
+    {
+        const std::int64_t most = machine.clock(m_timeline.now()) + LongestLeaseMs;
+        machine.leaseUntil = std::max(machine.leaseUntil, std::min(until.count(), most));
+    }
+
     void begin(Machine &machine, const RunKey &key)
     {
         const TaskTruth &truth = m_truth.at({key.first.job, key.first.step});
+        for (auto &[id, each] : m_machines) {
+            expire(each);
+        }
         const auto other = m_running.find(key.first);
         EXPECT_TRUE(other == m_running.end())
             << "TWICE: " << toString(key.first) << " runs on two workers, runs " << key.second << " and "
             << (other == m_running.end() ? 0 : other->second);
-        EXPECT_EQ(m_recordedDone.count(key.first), 0U) << "TWICE: started after its end was recorded";
+        EXPECT_EQ(m_recordedDone.count(key.first), 0U)
+            << "TWICE: started after its end was recorded: " << toString(key.first) << "/" << key.second;
         EXPECT_LT(m_recordedFailures[key.first], MostAttempts) << "BUDGET: " << toString(key.first);
         decision::Resources used = truth.resources;
         for (const auto &[each, run] : machine.runs) {
             used = plus(used, run.resources);
         }
-        EXPECT_TRUE(fitsInto(used, machine.report.capacity)) << "LIMIT on " << machine.report.id;
+        EXPECT_TRUE(fitsInto(used, machine.report.capacity)) << "LIMIT on " << machine.report.id << listRuns(machine)
+                                                             << " and " << toString(key.first) << "/" << key.second;
         const std::uint64_t serial = ++m_serial;
         machine.runs[key] = {m_timeline.now(), truth.resources, serial};
         m_running[key.first] = key.second;
@@ -323,6 +365,9 @@
         }
         m_done.insert(key.first);
         end(machine, key, EndKind::Done);
+        if (truth.gang) {
+            breakGang(key, EndKind::Done);
+        }
     }
 
     bool gangComplete(const RunKey &key, std::size_t size) const
@@ -413,7 +458,7 @@
         }
         answer.incarnation = machine->report.incarnation;
         if (order.leaseUntil && machine->clock(m_timeline.now()) < order.leaseUntil->count()) {
-            machine->leaseUntil = std::max(machine->leaseUntil, order.leaseUntil->count());
+            extendLease(*machine, *order.leaseUntil);
         }
         for (const EndedTask &ended : machine->ended) {
             if (ended.number <= order.recordedThrough) {
@@ -423,12 +468,22 @@
         std::erase_if(machine->ended,
                       [&order](const EndedTask &ended) { return ended.number <= order.recordedThrough; });
         for (const auto &[key, run] : machine->runs) {
-            answer.running.push_back({key.first, key.second, "", 1});
+            answer.running.push_back({key.first, key.second, "", percentOf(*machine, key)});
         }
         answer.ended = machine->ended;
         return answer;
     }
 
+    int percentOf(const Machine &machine, const RunKey &key) const
+    {
+        if (machine.standsStill) {
+            return 1;
+        }
+        const Duration work = m_truth.at({key.first.job, key.first.step}).work;
+        const Duration ran = m_timeline.now() - machine.runs.at(key).startedAt;
+        return static_cast<int>(std::min<std::int64_t>(100, 100 * ran.count() / work.count()));
+    }
+
     void record(const Machine &machine, const EndedTask &ended)
     {
         if (ended.number <= machine.lapsedThrough) {
@@ -445,6 +500,7 @@
 
 public:
     static constexpr int MostAttempts = 3;
+    static constexpr std::int64_t LongestLeaseMs = 10000;
 
 private:
     Timeline &m_timeline;
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -240,6 +240,7 @@
             m_world.endOwner(draw(1) == 0);
             m_world.timeline.after(milliseconds(draw(3000)), [this] { m_world.startOwner(); });
         }
+        m_world.workers.machines().at(anyWorker()).standsStill = draw(4) == 0;
         m_world.store.away = draw(20) == 0;
     }
 
@@ -275,6 +276,7 @@
         m_world.store.away = false;
         for (auto &[id, machine] : m_world.workers.machines()) {
             machine.cut = false;
+            machine.standsStill = false;
         }
         m_world.runFor(seconds(150));
         for (const auto &[id, spec] : m_world.specs) {
