workflow: let urgent gangs preempt where less work is lost than theirs

Change: they may stop lower priorities when these lose less than 0.7 of the gang's own work, and only for places in one rack when they want one. A worker is slow below 0.35 of its peers (0.5 hit sound ones). Also, from the histories: a batch stored after a worker's restart no longer marks ends of the new life as recorded, and ends are dropped only after lists at most 0.2 s old.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -4,6 +4,7 @@
 #include "corianderscale/Workflow/Catalogue.h"
 #include "corianderscale/Workflow/JobTable.h"
 #include "corianderscale/Workflow/Placement.h"
+#include "corianderscale/Workflow/Reclaim.h"
 #include "corianderscale/Workflow/RowStore.h"
 #include "corianderscale/Workflow/WorkerBook.h"
 
@@ -31,8 +32,8 @@
     Duration holdWait = std::chrono::milliseconds(1500);
     /** The same where urgent runs are watched for standing still. */
     Duration urgentHoldWait = std::chrono::milliseconds(600);
-    /** A worker whose lists are older may have started again under its id meanwhile; above the pause for the store. */
-    Duration sameLifeTime = std::chrono::milliseconds(1500);
+    /** A worker whose lists are older may have started again under its id; below the time that a start takes. */
+    Duration sameLifeTime = std::chrono::milliseconds(200);
     /** How long an order may go without an answer; an order that is not delayed takes a few ms. */
     Duration orderLimit = std::chrono::milliseconds(1000);
     /** Pause after an order without an answer. */
@@ -59,8 +60,8 @@
     std::vector<RowName> removed;
     /** Runs whose start order may be sent. */
     std::vector<std::pair<WorkerId, RunKey>> starts;
-    /** Ends that a worker may forget. */
-    std::map<WorkerId, std::int64_t> recorded;
+    /** Ends up to a number that a worker may forget, in the life that counted them. */
+    std::map<WorkerId, std::pair<Incarnation, std::int64_t>> recorded;
 
     bool empty() const
     {
@@ -213,6 +214,7 @@
     // JobEngineReclaim.cpp
     /** The jobs of priority 0 that their organisation's guarantee covers, older jobs first. */
     std::set<JobId> guaranteedJobs() const;
+    bool worthPreempting(const Candidate &candidate, const ReclaimPlan &plan, const PlacementBoard &board) const;
     void reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     std::optional<double> victimCost(const Run &run, int claimantPriority, MonotonicTime now) const;
     /** Takes the claimed room from the board, or gives it back. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -244,7 +244,7 @@
     }
     for (const WorkerId &id : m_workersWithEnds) {
         if (const Worker *worker = m_workers.find(id)) {
-            batch.recorded[id] = worker->endsTaken;
+            batch.recorded[id] = {worker->report.incarnation, worker->endsTaken};
         }
     }
     m_workersWithEnds.clear();
@@ -254,9 +254,9 @@
 void JobEngine::batchStored(const EngineBatch &batch)
 {
     const MonotonicTime now = m_clock.now();
-    for (const auto &[id, number] : batch.recorded) {
-        if (Worker *worker = m_workers.find(id)) {
-            worker->endsRecorded = std::max(worker->endsRecorded, number);
+    for (const auto &[id, ends] : batch.recorded) {
+        if (Worker *worker = findAddressee({id, ends.first})) {
+            worker->endsRecorded = std::max(worker->endsRecorded, ends.second);
             worker->nextHoldAt = std::min(worker->nextHoldAt, now);
         }
     }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -186,7 +186,8 @@
         }
         assign(candidate, tasks, workers, now);
     }
-    if (entries.size() == tasks.size() || !candidate.guaranteed) {
+    const bool urgent = candidate.queue->priority == 0 && gang;
+    if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent)) {
         m_claims.erase(claimKey);
         return;
     }
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -26,6 +26,9 @@
     return widest;
 }
 
+/** Urgent work beyond a guarantee stops others only when they lose less than this share of its own work. */
+constexpr double MostWorkLost = 0.7;
+
 } // namespace
 
 void JobEngine::reserve(const Claim &claim, PlacementBoard &board, bool taken)
@@ -105,13 +108,31 @@
     return weightOf(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
 }
 
+bool JobEngine::worthPreempting(const Candidate &candidate,
+                                const ReclaimPlan &plan,
+                                const PlacementBoard &board) const
+{
+    const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    const double seconds = std::chrono::duration<double>(step.estimate).count();
+    const double ownWork = weightOf(step.perTask) * seconds * static_cast<double>(step.tasks);
+    if (plan.cost > ownWork * MostWorkLost) {
+        return false;
+    }
+    if (!step.sameRack) {
+        return true;
+    }
+    return std::all_of(plan.entries.begin(), plan.entries.end(), [&plan, &board](std::size_t entry) {
+        return board.entries()[entry].rack == board.entries()[plan.entries.front()].rack;
+    });
+}
+
 void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
 {
     const std::optional<ReclaimPlan> plan
         = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
               return victimCost(run, candidate.queue->priority, now);
           });
-    if (!plan) {
+    if (!plan || (!candidate.guaranteed && !worthPreempting(candidate, *plan, board))) {
         return;
     }
     for (const auto &[worker, key] : plan->victims) {
--- a/lib/Workflow/JobEngineWatch.cpp
+++ b/lib/Workflow/JobEngineWatch.cpp
@@ -11,8 +11,8 @@
 
 /** Time between two passes; a worker lists percents once or twice a second. */
 constexpr Duration WatchEvery = std::chrono::milliseconds(300);
-/** A run slower than this share of its peers is on a slow worker; sound workers differ by 0.8 to 1.25. */
-constexpr double SlowShare = 0.5;
+/** A run slower than this share of its peers is on a slow worker; sound ones differ by 0.8 to 1.25, tasks by 30%. */
+constexpr double SlowShare = 0.35;
 /** A run without a new percent for this long stands still; a percent of a long task takes 0.1 s. */
 constexpr Duration StallTime = std::chrono::milliseconds(1200);
 /** How long a run that stands still is expected to do so; workers stall for seconds at a time. */
