--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -54,6 +54,14 @@
     Duration unhealthyTime = std::chrono::seconds(2);
 };
 
+/** What happened in a term. */
+struct EngineCounts {
+    std::size_t startsSent = 0;
+    std::size_t preempted = 0;
+    std::size_t moved = 0;
+    std::map<EndKind, std::size_t> ended;
+};
+
 /** Rows to store together, and what follows when they are. */
 struct EngineBatch {
     std::vector<Row> written;
@@ -126,6 +134,7 @@
     const WorkerBook &workers() const;
     const Job *job(const JobId &id) const;
     std::size_t jobCount() const;
+    const EngineCounts &counts() const;
     ///@}
 
 private:
@@ -260,6 +269,7 @@
     MonotonicTime m_nextPlanAt;
     MonotonicTime m_nextWatchAt;
     bool m_planWanted = true;
+    EngineCounts m_counts;
     bool m_superseded = false;
     /** Expires with the engine; completions of orders hold a weak reference. */
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -2,6 +2,7 @@
 
 #include "corianderscale/Support/YamlReader.h"
 #include "corianderscale/Workflow/JobIntake.h"
+#include "corianderscale/Workflow/NodeMetrics.h"
 #include "corianderscale/Workflow/OwnerDuty.h"
 
 #include <boost/asio/io_context.hpp>
@@ -52,6 +53,12 @@
     /** The configuration in force; null before the first one. */
     virtual const Catalogue *catalogue() const = 0;
     virtual JobIntake &intake() = 0;
+    /** Counts an answered call and logs one that failed; @p subject is the job id or the path that was asked for. */
+    virtual void callAnswered(const std::string &kind,
+                              const std::string &subject,
+                              const CallAnswer &answer,
+                              MonotonicTime startedAt)
+        = 0;
     /** Whether the balancer should send connections here. */
     virtual bool ready() const = 0;
     virtual const Clock &clock() const = 0;
--- /dev/null
+++ b/include/corianderscale/Workflow/NodeMetrics.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "corianderscale/Workflow/JobEngine.h"
+#include "corianderscale/Workflow/JobIntake.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coriander::workflow {
+
+/**
+ * Counters, gauges and latency histograms of one instance; docs/metrics.md says what each is for. Label values come
+ * from fixed sets, so the number of series is bounded.
+ *
+ * Thread safety: only on the thread of the event loop.
+ */
+class NodeMetrics
+{
+public:
+    NodeMetrics();
+
+    /** A caller got its answer. @p kind is `submit`, `cancel`, `show` or `count`. */
+    void callAnswered(const std::string &kind, CallOutcome outcome, Duration took);
+
+    /** What is read when the metrics are asked for. */
+    struct Present {
+        std::optional<Epoch> epoch;
+        /** Null on an instance that does not own the term. */
+        const JobEngine *engine = nullptr;
+        std::int64_t configuration = 0;
+        bool storeReachable = true;
+        std::size_t requestsInProgress = 0;
+    };
+
+    /** All series in the Prometheus text format. */
+    std::string toText(const Present &present);
+
+private:
+    void setGauge(const std::string &name, const std::string &help, double value);
+
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_calls;
+    prometheus::Family<prometheus::Histogram> &m_callSeconds;
+    prometheus::Family<prometheus::Gauge> &m_runs;
+};
+
+/** The name of an outcome for logs and labels. */
+const char *callOutcomeName(CallOutcome outcome);
+
+} // namespace coriander::workflow
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -18,6 +18,8 @@
     std::string requiredLabel;
     RackId dataRack;
     bool sameRack = false;
+    /** Whether workers whose last run failed are left out. */
+    bool soundOnly = false;
     /** Most tasks of the step on one worker; 0 for no bound. */
     std::size_t mostPerWorker = 0;
     /** Tasks of the step that workers hold already; read only with a bound. */
--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -21,7 +21,7 @@
     /** An owner that wrote nothing for this long is replaced; several heartbeats, and answers of a slow store. */
     Duration silentTime = std::chrono::milliseconds(2000);
     /** Least time between two writes of the owner; lets changes share a write. */
-    Duration writePause = std::chrono::milliseconds(10);
+    Duration writePause = std::chrono::milliseconds(25);
     /** How long one call may take; a slow store answers within 0.5 s. */
     Duration callLimit = std::chrono::milliseconds(1500);
     /** Pause after a call that failed. */
--- a/lib/Support/LogWriter.cpp
+++ b/lib/Support/LogWriter.cpp
@@ -2,7 +2,9 @@
 
 #include "corianderscale/Support/Log.h"
 
+#include <algorithm>
 #include <chrono>
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -26,7 +28,9 @@
         if (::poll(&output, 1, WriteWaitMs) <= 0) {
             return false;
         }
-        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+        // More could block, because a pipe is writable as soon as it has room for this much.
+        const std::size_t part = std::min<std::size_t>(text.size() - written, PIPE_BUF);
+        const ssize_t count = ::write(STDOUT_FILENO, text.data() + written, part);
         if (count <= 0) {
             return false;
         }
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -313,6 +313,11 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+const EngineCounts &JobEngine::counts() const
+{
+    return m_counts;
+}
+
 std::size_t JobEngine::jobCount() const
 {
     return m_jobs.size();
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -124,6 +124,7 @@
     order.leaseUntil = *lease;
     order.checkpoint = job->task(run.task).checkpoint;
     run.start = StartState::Sent;
+    ++m_counts.startsSent;
     logEvent(LogLevel::Info,
              "run-start-sent",
              {{"task", toString(run.task)},
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -170,12 +170,17 @@
         m_claims.erase(claimKey);
         return;
     }
-    const PlacementNeed need = needOf(candidate, tasks);
+    PlacementNeed need = needOf(candidate, tasks);
     const bool gang = candidate.job->spec.steps[candidate.step].gang;
     std::vector<std::size_t> entries;
     if (claim != m_claims.end() && gang) {
         entries = takeClaimed(claim->second, board);
     }
+    if (entries.empty() && gang && candidate.queue->priority == 0) {
+        need.soundOnly = true;
+        entries = placeTogether(board, need);
+        need.soundOnly = false;
+    }
     if (entries.empty()) {
         entries = gang ? placeTogether(board, need) : placeEach(board, need);
     }
@@ -254,6 +259,9 @@
               {"tasks", workers.size()},
               {"waiting", tasks.size() - workers.size()},
               {"gang", step.gang},
+              {"millicores", step.perTask.cores},
+              {"accelerators", step.perTask.accelerators},
+              {"priority", candidate.queue->priority},
               {"late", candidate.late},
               {"slack_ms", std::chrono::duration_cast<std::chrono::milliseconds>(candidate.objective - now).count()},
               {"configuration", m_catalogue->version}});
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -108,9 +108,7 @@
     return weightOf(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
 }
 
-bool JobEngine::worthPreempting(const Candidate &candidate,
-                                const ReclaimPlan &plan,
-                                const PlacementBoard &board) const
+bool JobEngine::worthPreempting(const Candidate &candidate, const ReclaimPlan &plan, const PlacementBoard &board) const
 {
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
     const double seconds = std::chrono::duration<double>(step.estimate).count();
@@ -143,6 +141,7 @@
                   {"worker", worker},
                   {"for_job", candidate.job->spec.id},
                   {"organisation", candidate.job->spec.organisation}});
+        ++m_counts.preempted;
         stopRun(worker, key);
         Job *victim = findJob(key.first.job);
         if (victim != nullptr && victim->step(key.first).gang) {
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -232,6 +232,7 @@
         }
         worker.endsTaken = end.number;
         m_workersWithEnds.insert(worker.report.id);
+        ++m_counts.ended[end.kind];
         logEvent(LogLevel::Info,
                  "run-ended",
                  {{"task", toString(end.task)},
--- a/lib/Workflow/JobEngineWatch.cpp
+++ b/lib/Workflow/JobEngineWatch.cpp
@@ -146,6 +146,7 @@
     const std::int64_t number = run.number;
     Task &task = job.task(key);
     ++task.moves;
+    ++m_counts.moved;
     logEvent(LogLevel::Info,
              "run-moved",
              {{"task", toString(key)}, {"run", number}, {"worker", task.worker}, {"percent", run.percent}});
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Support/Log.h"
+#include "corianderscale/Transport/AsyncHttpServer.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +25,7 @@
 constexpr Duration DrainTime = std::chrono::milliseconds(2800);
 /** The process ends this long before SIGKILL at the latest. */
 constexpr Duration ExitMargin = std::chrono::milliseconds(500);
+constexpr const char *MetricsPath = "/metrics";
 constexpr Duration DrainStep = std::chrono::milliseconds(50);
 /** Without the store for this long the instance is not ready, because it can accept no job. */
 constexpr Duration StoreAwayTime = std::chrono::milliseconds(1000);
@@ -49,6 +51,9 @@
                   m_binding.discovery)
         , m_configuration(m_loop, *m_binding.store, followerSettings(m_binding), followerHooks())
         , m_front(m_binding.makeFront(*this))
+        , m_metricsServer(m_loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
+            respond(showMetrics(request));
+        })
     {
     }
 
@@ -59,6 +64,9 @@
             logEvent(LogLevel::Error, "listen-failed", {{"reason", error.reason}});
             return ExitFailed;
         }
+        if (!m_settings.metricsListen.empty() && !m_metricsServer.listen(m_settings.metricsListen, error)) {
+            logEvent(LogLevel::Error, "metrics-off", {{"reason", error.reason}});
+        }
         logEvent(LogLevel::Info,
                  "started",
                  {{"data_centre", m_settings.dataCentre},
@@ -83,6 +91,26 @@
         return m_intake;
     }
 
+    void callAnswered(const std::string &kind,
+                      const std::string &subject,
+                      const CallAnswer &answer,
+                      MonotonicTime startedAt) override
+    {
+        const Duration took = m_clock.now() - startedAt;
+        m_metrics.callAnswered(kind, answer.outcome, took);
+        if (answer.outcome == CallOutcome::Done || answer.outcome == CallOutcome::NoSuchQueue) {
+            return;
+        }
+        logEvent(LogLevel::Info,
+                 "call-not-done",
+                 {{"kind", kind},
+                  {"job", subject},
+                  {"outcome", callOutcomeName(answer.outcome)},
+                  {"reason", answer.reason},
+                  {"configuration", m_catalogue ? m_catalogue->version : ConfigurationVersion()},
+                  {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count()}});
+    }
+
     bool ready() const override
     {
         const bool storeAway = m_storeAwaySince != NeverDue && m_clock.now() - m_storeAwaySince > StoreAwayTime;
@@ -126,6 +154,23 @@
                 }};
     }
 
+    HttpResponse showMetrics(const HttpRequest &request)
+    {
+        if (request.path != MetricsPath) {
+            return jsonResponse(404, "{}");
+        }
+        NodeMetrics::Present present;
+        present.epoch = m_owner.epoch();
+        present.engine = m_owner.engine();
+        present.configuration = m_catalogue ? m_catalogue->version.count() : 0;
+        present.storeReachable = m_storeAwaySince == NeverDue;
+        present.requestsInProgress = m_front->requestsInProgress();
+        HttpResponse response;
+        response.headers["Content-Type"] = "text/plain; version=0.0.4";
+        response.body = m_metrics.toText(present);
+        return response;
+    }
+
     void takeConfiguration(const Row &row)
     {
         if (row.key != m_binding.configuration.key || row.removed) {
@@ -215,7 +260,9 @@
     JobIntake m_intake;
     OwnerDuty m_owner;
     TableFollower m_configuration;
+    NodeMetrics m_metrics;
     std::unique_ptr<CallerFront> m_front;
+    AsyncHttpServer m_metricsServer;
 };
 
 NodeDaemon::NodeDaemon(NodeSettings settings, Clock clock, const MakeBinding &makeBinding)
--- /dev/null
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -0,0 +1,96 @@
+#include "corianderscale/Workflow/NodeMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace coriander::workflow {
+
+namespace {
+
+/** Bounds in seconds: a calm store answers in 10 ms, a caller waits 3 s. */
+const prometheus::Histogram::BucketBoundaries CallBounds{0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 3};
+
+} // namespace
+
+const char *callOutcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Done:
+        return "done";
+    case CallOutcome::Unauthorized:
+        return "unauthorized";
+    case CallOutcome::NoSuchQueue:
+        return "no-such-queue";
+    case CallOutcome::NoSuchJob:
+        return "no-such-job";
+    case CallOutcome::Invalid:
+        return "invalid";
+    case CallOutcome::Refused:
+        return "refused";
+    case CallOutcome::Unclear:
+        return "unclear";
+    }
+    return "unknown";
+}
+
+NodeMetrics::NodeMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_calls(prometheus::BuildCounter()
+                  .Name("coriander_calls_total")
+                  .Help("Answered calls of callers by kind and outcome")
+                  .Register(*m_registry))
+    , m_callSeconds(prometheus::BuildHistogram()
+                        .Name("coriander_call_seconds")
+                        .Help("Time from a call's arrival to its answer by kind")
+                        .Register(*m_registry))
+    , m_runs(prometheus::BuildGauge()
+                 .Name("coriander_term_runs")
+                 .Help("Runs of this owner's term by what became of them")
+                 .Register(*m_registry))
+{
+}
+
+void NodeMetrics::callAnswered(const std::string &kind, CallOutcome outcome, Duration took)
+{
+    m_calls.Add({{"kind", kind}, {"outcome", callOutcomeName(outcome)}}).Increment();
+    m_callSeconds.Add({{"kind", kind}}, CallBounds).Observe(std::chrono::duration<double>(took).count());
+}
+
+void NodeMetrics::setGauge(const std::string &name, const std::string &help, double value)
+{
+    prometheus::BuildGauge().Name(name).Help(help).Register(*m_registry).Add({}).Set(value);
+}
+
+std::string NodeMetrics::toText(const Present &present)
+{
+    setGauge("coriander_owner_epoch",
+             "Epoch of the term that this instance owns, 0 without",
+             static_cast<double>(present.epoch.value_or(Epoch()).count()));
+    setGauge("coriander_configuration_version",
+             "Version of the configuration in force",
+             static_cast<double>(present.configuration));
+    setGauge("coriander_store_reachable", "Whether the last call to the store succeeded", present.storeReachable);
+    setGauge("coriander_requests_in_progress",
+             "Calls that have no answer yet",
+             static_cast<double>(present.requestsInProgress));
+    if (present.engine != nullptr) {
+        const EngineCounts &counts = present.engine->counts();
+        m_runs.Add({{"event", "started"}}).Set(static_cast<double>(counts.startsSent));
+        m_runs.Add({{"event", "preempted"}}).Set(static_cast<double>(counts.preempted));
+        m_runs.Add({{"event", "moved"}}).Set(static_cast<double>(counts.moved));
+        for (const auto &[kind, count] : counts.ended) {
+            m_runs.Add({{"event", endKindName(kind)}}).Set(static_cast<double>(count));
+        }
+        setGauge("coriander_jobs", "Jobs that have not ended", static_cast<double>(present.engine->jobCount()));
+        std::size_t silent = 0;
+        for (const auto &[id, worker] : present.engine->workers().all()) {
+            silent += worker.silentCalls > 0 ? 1 : 0;
+        }
+        setGauge("coriander_workers",
+                 "Workers that this owner knows",
+                 static_cast<double>(present.engine->workers().all().size()));
+        setGauge("coriander_workers_silent", "Workers that did not answer last", static_cast<double>(silent));
+    }
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace coriander::workflow
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -97,7 +97,8 @@
     /** Smaller is better: workers to avoid last, then those that the task fills best, accelerators first. */
     auto leftover(const BoardEntry &entry) const
     {
-        const bool avoided = !m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0;
+        const bool avoided = entry.worker->failuresInRow > 0
+            || (!m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0);
         const decision::Resources left = minus(entry.room, m_need.perTask);
         return std::tuple(avoided, left.accelerators.count(), left.cores.count(), left.memory.count());
     }
@@ -182,7 +183,7 @@
     indices.reserve(m_entries.size());
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         const WorkerReport &report = m_entries[i].worker->report;
-        if (report.service != need.service) {
+        if (report.service != need.service || (need.soundOnly && m_entries[i].worker->failuresInRow > 0)) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
--- /dev/null
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -0,0 +1,195 @@
+#include "corianderscale/Transport/AsyncHttpClient.h"
+#include "corianderscale/Transport/AsyncHttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coriander {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AsyncHttp : public ::testing::Test
+{
+protected:
+    AsyncHttp()
+        : m_server(m_loop,
+                   {.headerBytes = 2000, .bodyBytes = 1000, .receiveTime = milliseconds(200), .idleTime = seconds(5)},
+                   [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
+                       ++m_handled;
+                       if (request.path == "/late") {
+                           m_pending.push_back(respond);
+                           return;
+                       }
+                       HttpResponse response;
+                       response.body = request.method + "|" + request.path + "|" + request.parameter("q") + "|"
+                           + request.header("x-sent") + "|" + request.body;
+                       respond(response);
+                   })
+        , m_client(m_loop, {.connectTime = milliseconds(500)})
+    {
+        TransportError error;
+        EXPECT_TRUE(m_server.listen("127.0.0.1:0", error)) << error.reason;
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_server.port());
+    }
+
+    /** Runs the loop until @p done or for some seconds. */
+    void runUntil(const std::function<bool()> &done)
+    {
+        const auto end = std::chrono::steady_clock::now() + seconds(10);
+        while (!done() && std::chrono::steady_clock::now() < end) {
+            m_loop.run_for(milliseconds(5));
+            m_loop.restart();
+        }
+        EXPECT_TRUE(done());
+    }
+
+    struct Result {
+        bool done = false;
+        std::optional<HttpResponse> response;
+        TransportError error;
+    };
+
+    Result call(const HttpRequest &request, Duration limit)
+    {
+        Result result;
+        m_client.send(address(), request, limit, [&result](const auto &response, const TransportError &error) {
+            result = {true, response, error};
+        });
+        runUntil([&result] { return result.done; });
+        return result;
+    }
+
+    /** Sends raw bytes and returns what comes back until the server closes the connection. */
+    std::string sendRaw(const std::string &bytes)
+    {
+        Tcp::socket socket(m_loop);
+        socket.connect({asio::ip::make_address_v4("127.0.0.1"), m_server.port()});
+        asio::write(socket, asio::buffer(bytes));
+        std::string received;
+        std::array<char, 4096> buffer{};
+        bool closed = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(asio::buffer(buffer), [&](boost::system::error_code code, std::size_t count) {
+                if (code) {
+                    closed = true;
+                    return;
+                }
+                received.append(buffer.data(), count);
+                read();
+            });
+        };
+        read();
+        runUntil([&closed] { return closed; });
+        return received;
+    }
+
+    asio::io_context m_loop;
+    std::vector<AsyncHttpRespond> m_pending;
+    std::size_t m_handled = 0;
+    AsyncHttpServer m_server;
+    AsyncHttpClient m_client;
+};
+
+// Guards against parts of a request that are lost or decoded twice on the way.
+TEST_F(AsyncHttp, requestArrivesWhole)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/a b";
+    request.query["q"] = "x&y=z";
+    request.headers["X-Sent"] = "yes";
+    request.body = "body";
+    const Result result = call(request, seconds(5));
+    ASSERT_TRUE(result.response) << result.error.reason;
+    EXPECT_EQ(result.response->body, "POST|/a b|x&y=z|yes|body");
+}
+
+// Guards against a half-sent body that is never answered, or that costs another caller.
+TEST_F(AsyncHttp, halfSentBodyIsAnsweredAndCostsNobodyElse)
+{
+    Tcp::socket half(m_loop);
+    half.connect({asio::ip::make_address_v4("127.0.0.1"), m_server.port()});
+    asio::write(half, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc")));
+    EXPECT_TRUE(call({}, seconds(5)).response);
+    const std::string answer = sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+    EXPECT_NE(answer.find("408"), std::string::npos) << answer;
+    EXPECT_EQ(m_server.requestsInProgress(), 0U);
+}
+
+// Guards against bad input that is accepted, or closes the connection without an answer.
+TEST_F(AsyncHttp, badInputGetsAnError)
+{
+    EXPECT_NE(sendRaw("nonsense\r\n\r\n").find(" 400 "), std::string::npos);
+    EXPECT_NE(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n").find(" 413 "), std::string::npos);
+    EXPECT_NE(sendRaw("GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n").find(" 431 "), std::string::npos);
+    EXPECT_EQ(m_handled, 0U);
+}
+
+// Guards against a call that waits for ever on a peer that stays silent.
+TEST_F(AsyncHttp, silentPeerEndsInATimeout)
+{
+    HttpRequest request;
+    request.path = "/late";
+    const Result result = call(request, milliseconds(100));
+    EXPECT_FALSE(result.response);
+    EXPECT_EQ(result.error.code, TransportCode::Timeout);
+}
+
+// Guards against a refused connection that is reported as a request that may have been served.
+TEST_F(AsyncHttp, refusedConnectionProvesThatNothingWasSent)
+{
+    Tcp::acceptor closed(m_loop, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const unsigned short port = closed.local_endpoint().port();
+    closed.close();
+    Result result;
+    m_client.send("127.0.0.1:" + std::to_string(port), {}, seconds(1), [&result](const auto &, const auto &error) {
+        result = {true, std::nullopt, error};
+    });
+    runUntil([&result] { return result.done; });
+    EXPECT_EQ(result.error.code, TransportCode::Unreachable);
+}
+
+// Guards against a connection for each call.
+TEST_F(AsyncHttp, connectionsAreUsedAgain)
+{
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_TRUE(call({}, seconds(5)).response);
+    }
+    m_server.startDraining();
+    EXPECT_TRUE(call({}, seconds(5)).response);
+    EXPECT_TRUE(call({}, seconds(5)).response);
+    EXPECT_EQ(m_handled, 7U);
+}
+
+// Guards against a request in progress that is cut off when the server closes idle connections.
+TEST_F(AsyncHttp, requestInProgressSurvivesCloseIdle)
+{
+    HttpRequest request;
+    request.path = "/late";
+    Result result;
+    m_client.send(address(), request, seconds(5), [&result](const auto &response, const TransportError &error) {
+        result = {true, response, error};
+    });
+    runUntil([this] { return !m_pending.empty(); });
+    m_server.closeIdle();
+    m_pending.front()({});
+    runUntil([&result] { return result.done; });
+    EXPECT_TRUE(result.response) << result.error.reason;
+}
+
+} // namespace
+} // namespace coriander
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -256,7 +256,7 @@
         std::vector<StepSpec> steps;
         const int count = 1 + draw(1);
         for (int s = 0; s < count; ++s) {
-            StepSpec step = stepOf(static_cast<std::size_t>(1 + draw(5)), 1 + draw(12), draw(8));
+            StepSpec step = stepOf(static_cast<std::size_t>(draw(5)) + 1, 1 + draw(12), draw(8));
             step.gang = draw(1) == 0;
             step.sameRack = draw(1) == 0;
             if (s > 0) {
--- /dev/null
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -0,0 +1,175 @@
+#include "corianderscale/Workflow/JobIntake.h"
+
+#include "Workflow/FakeRowStore.h"
+
+namespace coriander::workflow {
+namespace {
+
+using std::chrono::seconds;
+
+class Intake : public ::testing::Test
+{
+protected:
+    Intake()
+        : m_store(m_timeline)
+        , m_intake({}, m_timeline.clock(), m_store)
+    {
+    }
+
+    static JobSpec job()
+    {
+        JobSpec spec;
+        spec.id = JobId("5c0e7a21d94b36f8");
+        spec.queue = QueueName("q");
+        spec.steps.emplace_back();
+        return spec;
+    }
+
+    CallAnswer submit()
+    {
+        std::optional<CallAnswer> answer;
+        m_intake.submit(job(), m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
+        m_timeline.runFor(seconds(10));
+        EXPECT_TRUE(answer);
+        return answer.value_or(CallAnswer{});
+    }
+
+    Timeline m_timeline;
+    FakeRowStore m_store;
+    JobIntake m_intake;
+};
+
+// Guards against an acceptance before the job is stored, and against a second job under the same id.
+TEST_F(Intake, jobIsStoredOnce)
+{
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    ASSERT_NE(m_store.find(JobsTable, job().id.value()), nullptr);
+    ASSERT_NE(m_store.find(WaitingTable, waitingKey(job().queue, job().id)), nullptr);
+    const RowVersion version = m_store.find(JobsTable, job().id.value())->version;
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    EXPECT_EQ(m_store.find(JobsTable, job().id.value())->version, version);
+}
+
+// Guards against a job that runs again because its submission arrives after it has ended.
+TEST_F(Intake, lateDuplicateOfAnEndedJobStoresNothing)
+{
+    submit();
+    m_store.apply({{}, {}, {{JobsTable, job().id.value()}}});
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    EXPECT_EQ(m_store.find(JobsTable, job().id.value()), nullptr);
+}
+
+// Guards against a refusal that comes late or without a time to come back.
+TEST_F(Intake, refusesAtOnceWithoutTheStore)
+{
+    m_store.away = true;
+    const MonotonicTime before = m_timeline.now();
+    std::optional<MonotonicTime> answeredAt;
+    CallAnswer answer;
+    m_intake.submit(job(), before + seconds(2), [&](const CallAnswer &given) {
+        answer = given;
+        answeredAt = m_timeline.now();
+    });
+    m_timeline.runFor(seconds(3));
+    EXPECT_EQ(answer.outcome, CallOutcome::Refused);
+    EXPECT_GE(answer.retryAfter, seconds(1));
+    ASSERT_TRUE(answeredAt);
+    EXPECT_LT(*answeredAt - before, milliseconds(100));
+}
+
+// Guards against "not run" for a job that was stored: after a lost answer the outcome is settled or called unclear.
+TEST_F(Intake, lostAnswersAreNeverCalledRefused)
+{
+    m_store.answerLost = 1;
+    m_timeline.after(milliseconds(300), [this] { m_store.answerLost = 0; });
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    m_store.rows.clear();
+    m_store.requestLost = 1;
+    EXPECT_EQ(submit().outcome, CallOutcome::Unclear);
+}
+
+// Guards against a cancel of an unknown or ended job that is stored for ever.
+TEST_F(Intake, cancelNeedsALivingJob)
+{
+    const auto cancel = [this] {
+        CallAnswer answer;
+        m_intake.cancel(
+            job().id, m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
+        m_timeline.runFor(seconds(3));
+        return answer.outcome;
+    };
+    EXPECT_EQ(cancel(), CallOutcome::NoSuchJob);
+    submit();
+    EXPECT_EQ(cancel(), CallOutcome::Done);
+    EXPECT_NE(m_store.find(JobsTable, cancelKey(job().id)), nullptr);
+    m_store.apply({{},
+                   {{StatesTable, job().id.value(), encodeState({JobState::Completed, {}, {}, {}}), {}, false}},
+                   {{JobsTable, cancelKey(job().id)}}});
+    EXPECT_EQ(cancel(), CallOutcome::Done);
+    EXPECT_EQ(m_store.find(JobsTable, cancelKey(job().id)), nullptr);
+}
+
+// Guards against states and counts that are not the stored ones.
+TEST_F(Intake, showsStatesAndCounts)
+{
+    submit();
+    CallAnswer shown;
+    CallAnswer counted;
+    CallAnswer other;
+    const MonotonicTime deadline = m_timeline.now() + seconds(2);
+    m_intake.show(job().id, deadline, [&shown](const CallAnswer &answer) { shown = answer; });
+    m_intake.countWaiting(job().queue, deadline, [&counted](const CallAnswer &answer) { counted = answer; });
+    m_intake.countWaiting(QueueName("q1"), deadline, [&other](const CallAnswer &answer) { other = answer; });
+    m_timeline.runFor(seconds(1));
+    EXPECT_EQ(shown.state, JobState::Queued);
+    EXPECT_EQ(counted.waiting, 1U);
+    EXPECT_EQ(other.waiting, 0U);
+}
+
+// Guards against calls that are let in with a credential no configuration holds, or to a queue that is gone.
+TEST(Admission, queueAndCredentialDecide)
+{
+    Catalogue catalogue;
+    QueueSpec queue;
+    queue.name = QueueName("closed");
+    queue.host = "a";
+    queue.prefix = "/x/";
+    catalogue.queues.push_back(queue);
+    queue.name = QueueName("open");
+    queue.prefix = "/x/open/";
+    queue.open = true;
+    catalogue.queues.push_back(queue);
+    catalogue.organisations.push_back({OrganisationId("org"), {"key"}, Accelerators()});
+    catalogue.index();
+    CallAnswer answer;
+    EXPECT_FALSE(admitCall(nullptr, "a", "/x/1", "key", answer));
+    EXPECT_EQ(answer.outcome, CallOutcome::Refused);
+    EXPECT_FALSE(admitCall(&catalogue, "a", "/y/1", "key", answer));
+    EXPECT_EQ(answer.outcome, CallOutcome::NoSuchQueue);
+    EXPECT_FALSE(admitCall(&catalogue, "a", "/x/1", "other", answer));
+    EXPECT_EQ(answer.outcome, CallOutcome::Unauthorized);
+    EXPECT_EQ(admitCall(&catalogue, "a", "/x/1", "key", answer)->organisation, OrganisationId("org"));
+    EXPECT_EQ(admitCall(&catalogue, "a", "/x/open/1", "", answer)->queue.name, QueueName("open"));
+}
+
+// Guards against jobs that no pass could ever finish or that do not fit a row.
+TEST(JobCheck, impossibleJobsAreRefused)
+{
+    JobSpec job;
+    EXPECT_TRUE(checkJob(job));
+    job.steps.emplace_back();
+    EXPECT_FALSE(checkJob(job));
+    job.steps[0].after = {0};
+    EXPECT_TRUE(checkJob(job));
+    job.steps[0].after.clear();
+    job.steps[0].tasks = 0;
+    EXPECT_TRUE(checkJob(job));
+    job.steps[0].tasks = 1000000;
+    EXPECT_TRUE(checkJob(job));
+    job.steps[0].tasks = 1;
+    job.payload.assign(5000, 'x');
+    EXPECT_TRUE(checkJob(job));
+}
+
+} // namespace
+} // namespace coriander::workflow
--- /dev/null
+++ b/unittests/Workflow/NodeMetricsTest.cpp
@@ -0,0 +1,45 @@
+#include "corianderscale/Workflow/NodeDaemon.h"
+
+#include <gtest/gtest.h>
+
+namespace coriander::workflow {
+namespace {
+
+// Guards against calls that are counted under another kind or outcome.
+TEST(NodeMetrics, callsAreCounted)
+{
+    NodeMetrics metrics;
+    metrics.callAnswered("submit", CallOutcome::Done, std::chrono::milliseconds(12));
+    metrics.callAnswered("submit", CallOutcome::Refused, std::chrono::milliseconds(1));
+    metrics.callAnswered("submit", CallOutcome::Done, std::chrono::milliseconds(12));
+    const std::string text = metrics.toText({});
+    EXPECT_NE(text.find("coriander_calls_total{kind=\"submit\",outcome=\"done\"} 2"), std::string::npos) << text;
+    EXPECT_NE(text.find("coriander_call_seconds_count{kind=\"submit\"} 3"), std::string::npos) << text;
+    EXPECT_NE(text.find("coriander_owner_epoch 0"), std::string::npos) << text;
+}
+
+// Guards against settings that are taken although they are wrong.
+TEST(NodeSettings, wrongSettingsAreFaults)
+{
+    const auto read = [](const std::string &content, std::vector<YamlFault> &faults) {
+        const auto root = parseYaml(content, "settings.yaml", faults);
+        YamlMap map(*root, "settings.yaml", {}, faults);
+        return readNodeSettings(map);
+    };
+    const std::string good = "instance: n1\ndata_centre: d\ncaller_listen: 1.2.3.4:5\nreadiness_listen: 1.2.3.4:6\n"
+                             "store: 1.2.3.4:7\nprocessor_share: 0.12\ngrace_s: 6.5\n";
+    std::vector<YamlFault> faults;
+    const NodeSettings settings = read(good, faults);
+    EXPECT_TRUE(faults.empty());
+    EXPECT_EQ(settings.grace, std::chrono::milliseconds(6500));
+    EXPECT_DOUBLE_EQ(settings.processorShare, 0.12);
+    read(good + "longest_lease_ms: 5\n", faults);
+    ASSERT_EQ(faults.size(), 1U);
+    EXPECT_EQ(faults[0].key, "longest_lease_ms");
+    faults.clear();
+    read("instance: n1\ngrace_s: soon\n", faults);
+    EXPECT_EQ(faults.size(), 5U);
+}
+
+} // namespace
+} // namespace coriander::workflow
--- /dev/null
+++ b/unittests/Workflow/PlacementTest.cpp
@@ -0,0 +1,140 @@
+#include "corianderscale/Workflow/Reclaim.h"
+
+#include "Workflow/EngineWorld.h"
+
+namespace coriander::workflow {
+namespace {
+
+class Board : public ::testing::Test
+{
+protected:
+    Worker &add(const std::string &id, const std::string &rack)
+    {
+        Worker &worker = m_book.all()[WorkerId(id)];
+        worker.report.id = WorkerId(id);
+        worker.report.rack = RackId(rack);
+        worker.report.labels = {"a", rack};
+        worker.report.service = ServiceName("pool");
+        worker.report.capacity = WorkerSize;
+        worker.listed = true;
+        worker.known = true;
+        worker.clock = ClockSample{};
+        return worker;
+    }
+
+    void use(Worker &worker, std::int64_t accelerators, std::int64_t run = 1)
+    {
+        workflow::Run taken;
+        taken.task = {JobId("other"), 0, 0, worker.runs.size()};
+        taken.number = run;
+        taken.resources = resources(1, accelerators);
+        m_book.addRun(worker, taken);
+    }
+
+    static PlacementNeed need(std::size_t tasks, std::int64_t accelerators)
+    {
+        PlacementNeed need;
+        need.tasks = tasks;
+        need.perTask = resources(1, accelerators);
+        need.service = ServiceName("pool");
+        return need;
+    }
+
+    std::vector<std::string> names(const PlacementBoard &board, const std::vector<std::size_t> &entries) const
+    {
+        std::vector<std::string> result;
+        for (const std::size_t entry : entries) {
+            result.push_back(board.entries()[entry].worker->report.id.value());
+        }
+        return result;
+    }
+
+    WorkerBook m_book;
+};
+
+// Guards against small tasks that break up empty workers.
+TEST_F(Board, fullestWorkerThatFitsIsTaken)
+{
+    add("w1", "r1");
+    use(add("w2", "r1"), 6);
+    PlacementBoard board(m_book, {});
+    EXPECT_EQ(names(board, placeEach(board, need(3, 1))), (std::vector<std::string>{"w2", "w2", "w1"}));
+}
+
+// Guards against a gang that is split over racks although it need not be, or waits for a rack that can't exist.
+TEST_F(Board, gangStaysInOneRackWhenOneCouldHoldIt)
+{
+    add("w1", "r1");
+    add("w2", "r2");
+    add("w3", "r2");
+    PlacementNeed two = need(2, 8);
+    two.sameRack = true;
+    PlacementBoard board(m_book, {});
+    EXPECT_EQ(names(board, placeTogether(board, two)), (std::vector<std::string>{"w2", "w3"}));
+    EXPECT_TRUE(placeTogether(board, two).empty());
+    PlacementNeed three = need(3, 8);
+    three.sameRack = true;
+    PlacementBoard fresh(m_book, {});
+    EXPECT_EQ(placeTogether(fresh, three).size(), 3U);
+}
+
+// Guards against work on workers that drain, are silent, avoided, of another pool or without the label.
+TEST_F(Board, onlyFittingWorkersAreUsed)
+{
+    add("w1", "r1").report.draining = true;
+    add("w2", "r1").silentCalls = 1;
+    add("w3", "r1").avoidedUntil = MonotonicTime(std::chrono::seconds(1));
+    add("w4", "r1").report.service = ServiceName("other");
+    add("w5", "r1").known = false;
+    add("w6", "r1").listed = false;
+    add("w7", "r1").failuresInRow = 1;
+    add("w8", "r2");
+    PlacementBoard board(m_book, {});
+    PlacementNeed sound = need(9, 8);
+    sound.soundOnly = true;
+    EXPECT_EQ(names(board, placeEach(board, sound)), std::vector<std::string>{"w8"});
+    EXPECT_EQ(names(board, placeEach(board, need(9, 8))), std::vector<std::string>{"w7"});
+    PlacementBoard labels(m_book, {});
+    PlacementNeed labelled = need(1, 1);
+    labelled.requiredLabel = "b";
+    EXPECT_TRUE(placeEach(labels, labelled).empty());
+}
+
+// Guards against more tasks of a step on a worker than allowed, and against tasks away from their data.
+TEST_F(Board, boundPerWorkerAndDataRackHold)
+{
+    add("w1", "r1");
+    add("w2", "r2");
+    PlacementNeed bounded = need(5, 1);
+    bounded.mostPerWorker = 2;
+    bounded.held[WorkerId("w1")] = 1;
+    PlacementBoard board(m_book, {});
+    EXPECT_EQ(placeEach(board, bounded).size(), 3U);
+    PlacementNeed near = need(2, 1);
+    near.dataRack = RackId("r2");
+    EXPECT_EQ(names(board, placeEach(board, near)), (std::vector<std::string>{"w2", "w2"}));
+}
+
+// Guards against more work lost than needed when room is made.
+TEST_F(Board, cheapestVictimsMakeRoom)
+{
+    Worker &full = add("w1", "r1");
+    use(full, 8);
+    Worker &halves = add("w2", "r1");
+    use(halves, 4);
+    use(halves, 4);
+    PlacementBoard board(m_book, {});
+    const auto cost = [](const Worker &, const workflow::Run &run) -> std::optional<double> {
+        return static_cast<double>(run.resources.accelerators.count());
+    };
+    const auto half = planReclaim(board, need(1, 4), cost);
+    ASSERT_TRUE(half);
+    EXPECT_EQ(half->victims.size(), 1U);
+    EXPECT_EQ(half->victims[0].first, WorkerId("w2"));
+    const auto none = planReclaim(
+        board, need(1, 4), [](const Worker &, const workflow::Run &) -> std::optional<double> { return std::nullopt; });
+    EXPECT_FALSE(none);
+}
+
+} // namespace
+} // namespace coriander::workflow
