--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -214,6 +214,7 @@
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
+    bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     void place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
     void assign(const Candidate &candidate,
                 const std::vector<std::size_t> &tasks,
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -20,6 +20,8 @@
     bool sameRack = false;
     /** Whether workers whose last run failed are left out. */
     bool soundOnly = false;
+    /** Whether workers on which no run was done yet are left out as well. */
+    bool provenOnly = false;
     /** Most tasks of the step on one worker; 0 for no bound. */
     std::size_t mostPerWorker = 0;
     /** Tasks of the step that workers hold already; read only with a bound. */
--- a/include/corianderscale/Workflow/WorkerBook.h
+++ b/include/corianderscale/Workflow/WorkerBook.h
@@ -86,6 +86,8 @@
     std::int64_t endsRecorded = 0;
     /** Highest number that the worker was told that it may forget. */
     std::int64_t endsReported = 0;
+    /** Runs that were done in this term. */
+    std::size_t runsDone = 0;
     /** Failed runs in a row, without one that was done. */
     int failuresInRow = 0;
     /** Until when it gets no work because its runs fail or stand still. */
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -158,6 +158,14 @@
     return need;
 }
 
+bool JobEngine::hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const
+{
+    const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
+    return std::any_of(tasks.begin(), tasks.end(), [&all](std::size_t index) {
+        return all[index].failures > 0;
+    });
+}
+
 void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
     const std::vector<std::size_t> tasks = waitingTasks(candidate);
@@ -176,11 +184,14 @@
     if (claim != m_claims.end() && gang) {
         entries = takeClaimed(claim->second, board);
     }
-    if (entries.empty() && gang && candidate.queue->priority == 0) {
-        need.soundOnly = true;
-        entries = placeTogether(board, need);
-        need.soundOnly = false;
+    // A retry goes to a worker that is known to be good, because a second bad one may end the job.
+    need.provenOnly = hasFailed(candidate, tasks);
+    need.soundOnly = gang && candidate.queue->priority == 0;
+    if (entries.empty() && (need.provenOnly || need.soundOnly)) {
+        entries = gang ? placeTogether(board, need) : placeEach(board, need);
     }
+    need.provenOnly = false;
+    need.soundOnly = false;
     if (entries.empty()) {
         entries = gang ? placeTogether(board, need) : placeEach(board, need);
     }
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -242,6 +242,7 @@
                   {"end", end.number}});
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
+            ++worker.runsDone;
         }
         if (end.kind == EndKind::Failed && ++worker.failuresInRow >= FailuresBeforeAvoiding) {
             worker.avoidedUntil = m_clock.now() + m_times.avoidTime;
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -183,7 +183,10 @@
     indices.reserve(m_entries.size());
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         const WorkerReport &report = m_entries[i].worker->report;
-        if (report.service != need.service || (need.soundOnly && m_entries[i].worker->failuresInRow > 0)) {
+        const Worker &worker = *m_entries[i].worker;
+        const bool unsound = (need.soundOnly || need.provenOnly) && worker.failuresInRow > 0;
+        const bool unproven = need.provenOnly && worker.runsDone == 0;
+        if (report.service != need.service || unsound || unproven) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
--- a/unittests/Workflow/PlacementTest.cpp
+++ b/unittests/Workflow/PlacementTest.cpp
@@ -100,6 +100,17 @@
     EXPECT_TRUE(placeEach(labels, labelled).empty());
 }
 
+// Guards against a retry on a worker that has not shown yet that it can run anything.
+TEST_F(Board, retriesGoToProvenWorkers)
+{
+    add("w1", "r1");
+    add("w2", "r1").runsDone = 1;
+    PlacementBoard board(m_book, {});
+    PlacementNeed retry = need(2, 8);
+    retry.provenOnly = true;
+    EXPECT_EQ(names(board, placeEach(board, retry)), std::vector<std::string>{"w2"});
+}
+
 // Guards against more tasks of a step on a worker than allowed, and against tasks away from their data.
 TEST_F(Board, boundPerWorkerAndDataRackHold)
 {
