--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -65,11 +65,16 @@
     struct Times {
         /** How long one call to the store may take. */
         Duration callLimit = std::chrono::milliseconds(700);
+        /** Pause before a write whose outcome is unclear is sent again. */
+        Duration retryPause = std::chrono::milliseconds(150);
         /** When a caller is told to come again; by then the balancer has taken out an instance without the store. */
         Duration retryAfter = std::chrono::seconds(1);
     };
 
-    JobIntake(Times times, Clock clock, RowStore &store);
+    /** Calls a function after a pause, on the thread of the event loop. */
+    using Later = std::function<void(Duration, std::function<void()>)>;
+
+    JobIntake(Times times, Clock clock, RowStore &store, Later later);
 
     /** Answers at the latest at @p deadline. Precondition: the job is valid, see checkJob(). */
     void submit(const JobSpec &job, MonotonicTime deadline, CallDone done);
@@ -81,12 +86,14 @@
     struct Write;
 
     void send(const std::shared_ptr<Write> &write);
+    void sendLater(const std::shared_ptr<Write> &write);
     void finish(const std::shared_ptr<Write> &write, const ChangeResult &result);
     Duration limitUntil(MonotonicTime deadline) const;
 
     Times m_times;
     Clock m_clock;
     RowStore &m_store;
+    Later m_later;
 };
 
 /** Why a job can't be taken, or no value for a valid one. */
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -126,7 +126,7 @@
     run.start = StartState::Sent;
     ++m_counts.startsSent;
     logEvent(LogLevel::Info,
-             "run-start-sent",
+             "start-sent",
              {{"task", toString(run.task)},
               {"run", run.number},
               {"worker", worker.report.id},
@@ -172,7 +172,7 @@
         return;
     }
     logEvent(LogLevel::Info,
-             "run-start-not-done",
+             "start-not-done",
              {{"task", toString(key.first)},
               {"run", key.second},
               {"worker", to.worker},
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -99,10 +99,11 @@
     int sendings = 0;
 };
 
-JobIntake::JobIntake(Times times, Clock clock, RowStore &store)
+JobIntake::JobIntake(Times times, Clock clock, RowStore &store, Later later)
     : m_times(times)
     , m_clock(std::move(clock))
     , m_store(store)
+    , m_later(std::move(later))
 {
 }
 
@@ -168,6 +169,13 @@
     });
 }
 
+void JobIntake::sendLater(const std::shared_ptr<Write> &write)
+{
+    m_later(m_times.retryPause, [this, write] {
+        send(write);
+    });
+}
+
 void JobIntake::finish(const std::shared_ptr<Write> &write, const ChangeResult &result)
 {
     const MonotonicTime now = m_clock.now();
@@ -185,10 +193,14 @@
         break;
     case ChangeOutcome::NotDone:
         // One more try at once; a refusal should not come late.
-        if (write->sendings < 2 || (write->unclear && timeLeft)) {
+        if (!write->unclear && write->sendings < 2) {
             send(write);
             return;
         }
+        if (write->unclear && timeLeft) {
+            sendLater(write);
+            return;
+        }
         answer.outcome = write->unclear ? CallOutcome::Unclear : CallOutcome::Refused;
         answer.reason = result.reason;
         answer.retryAfter = m_times.retryAfter;
@@ -196,7 +208,7 @@
     case ChangeOutcome::Unknown:
         write->unclear = true;
         if (timeLeft) {
-            send(write);
+            sendLater(write);
             return;
         }
         answer.outcome = CallOutcome::Unclear;
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -41,7 +41,12 @@
         , m_binding(makeBinding(m_loop, m_settings, m_clock))
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_loop)
-        , m_intake({}, m_clock, *m_binding.store)
+        , m_intake({},
+                   m_clock,
+                   *m_binding.store,
+                   [this](Duration pause, std::function<void()> next) {
+                       callLater(pause, std::move(next));
+                   })
         , m_owner(m_loop,
                   ownerTimes(m_settings),
                   m_clock,
@@ -196,6 +201,16 @@
         m_owner.setCatalogue(m_catalogue);
     }
 
+    void callLater(Duration pause, std::function<void()> next)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, pause);
+        timer->async_wait([timer, next = std::move(next)](boost::system::error_code code) {
+            if (!code) {
+                next();
+            }
+        });
+    }
+
     void noteStore(bool reachable, const std::string &reason)
     {
         m_storeAwaySince = reachable ? NeverDue : m_clock.now();
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -26,6 +26,8 @@
     double late = 0;
     double requestLost = 0;
     bool away = false;
+    /** Calls of change() so far. */
+    std::size_t changes = 0;
 
     std::map<std::pair<std::string, std::string>, Row> rows;
 
@@ -67,6 +69,7 @@
 
     void change(RowChange change, Duration limit, ChangeDone done) override
     {
+        ++changes;
         const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
         const auto answer = [this, done](Duration delay, const ChangeResult &result) {
             m_timeline.after(delay, [done, result] { done(result); });
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -12,7 +12,12 @@
 protected:
     Intake()
         : m_store(m_timeline)
-        , m_intake({}, m_timeline.clock(), m_store)
+        , m_intake({},
+                   m_timeline.clock(),
+                   m_store,
+                   [this](Duration pause, std::function<void()> next) {
+                       m_timeline.after(pause, std::move(next));
+                   })
     {
     }
 
@@ -88,6 +93,17 @@
     EXPECT_EQ(submit().outcome, CallOutcome::Unclear);
 }
 
+// Guards against a store that is flooded with repetitions of one write while it is away.
+TEST_F(Intake, unclearWriteIsRepeatedWithPauses)
+{
+    m_store.requestLost = 1;
+    m_timeline.after(milliseconds(10), [this] {
+        m_store.away = true;
+    });
+    EXPECT_EQ(submit().outcome, CallOutcome::Unclear);
+    EXPECT_LE(m_store.changes, 15U);
+}
+
 // Guards against a cancel of an unknown or ended job that is stored for ever.
 TEST_F(Intake, cancelNeedsALivingJob)
 {
