workflow: end calls with the time of their queue; drop fields that nothing reads

Cause: the timeout of a queue was read and not used, so a call could be held longer than its queue allows. The clean-up removes fields of workers, tasks and occurrences that nothing read.

--- a/include/corianderscale/Workflow/Catalogue.h
+++ b/include/corianderscale/Workflow/Catalogue.h
@@ -48,8 +48,6 @@
 
 struct ServiceSpec {
     ServiceName name;
-    /** Whether its workers reject what does not fit. */
-    bool checksAdmission = false;
 };
 
 struct CallerLimits {
--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -44,6 +44,9 @@
     QueueSpec queue;
     /** Empty on an open queue without a credential. */
     OrganisationId organisation;
+
+    /** How long the call may take when its caller waits for @p callerWaits. */
+    Duration allowedTime(Duration callerWaits) const;
 };
 
 /** Finds the queue of a call and checks its credential; no value with how to answer. Thread safety: pure. */
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -16,8 +16,6 @@
     int checkpointPercent = 0;
     /** How often it was moved off a slow worker. */
     int moves = 0;
-    /** Since when it could run. */
-    MonotonicTime waitingSince;
 };
 
 struct Occurrence {
@@ -26,7 +24,6 @@
     bool dirty = false;
     /** Runs whose start order waits until the row is stored. */
     std::vector<std::pair<WorkerId, RunKey>> pendingStarts;
-    bool done = false;
 };
 
 /** A job that has not ended, as the owner holds it. */
--- a/include/corianderscale/Workflow/WorkerBook.h
+++ b/include/corianderscale/Workflow/WorkerBook.h
@@ -61,8 +61,6 @@
     WorkerReport report;
     /** Whether discovery lists it. */
     bool listed = false;
-    /** Since when discovery says that it drains. */
-    std::optional<MonotonicTime> leavesAt;
     std::map<RunKey, Run> runs;
     decision::Resources used;
     std::optional<ClockSample> clock;
@@ -74,7 +72,6 @@
     bool holdInFlight = false;
     MonotonicTime holdSentAt;
     MonotonicTime nextHoldAt;
-    MonotonicTime lastAnswerAt;
     /** When its lists last came, which name its life. */
     MonotonicTime lastHoldAt;
     /** Whether it answered in this term, so that its runs are known. */
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -94,7 +94,6 @@
         m_planWanted = true;
     }
     worker.silentCalls = 0;
-    worker.lastAnswerAt = now;
     if (answer.clock) {
         worker.clock = ClockSample{*answer.clock, now};
     }
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -68,7 +68,6 @@
         return;
     }
     task.phase = TaskPhase::Waiting;
-    task.waitingSince = m_clock.now();
     if (!checkpoint.empty()) {
         task.checkpoint = checkpoint;
     }
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -84,6 +84,11 @@
     return AdmittedCall{*queue, organisation == nullptr ? OrganisationId() : organisation->id};
 }
 
+Duration AdmittedCall::allowedTime(Duration callerWaits) const
+{
+    return queue.callTimeout > Duration(0) ? std::min(callerWaits, queue.callTimeout) : callerWaits;
+}
+
 /** A write for a caller, sent again until its outcome is known or its time is over. */
 struct JobIntake::Write {
     const char *event = "";
@@ -171,9 +176,7 @@
 
 void JobIntake::sendLater(const std::shared_ptr<Write> &write)
 {
-    m_later(m_times.retryPause, [this, write] {
-        send(write);
-    });
+    m_later(m_times.retryPause, [this, write] { send(write); });
 }
 
 void JobIntake::finish(const std::shared_ptr<Write> &write, const ChangeResult &result)
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -57,9 +57,7 @@
     Job job;
     Occurrence occurrence;
     for (const StepSpec &step : spec.steps) {
-        Task task;
-        task.waitingSince = now;
-        occurrence.steps.emplace_back(step.tasks, task);
+        occurrence.steps.emplace_back(step.tasks, Task{});
     }
     job.occurrences.assign(std::max<std::size_t>(spec.occurrences, 1), occurrence);
     job.spec = std::move(spec);
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -12,12 +12,9 @@
 protected:
     Intake()
         : m_store(m_timeline)
-        , m_intake({},
-                   m_timeline.clock(),
-                   m_store,
-                   [this](Duration pause, std::function<void()> next) {
-                       m_timeline.after(pause, std::move(next));
-                   })
+        , m_intake({}, m_timeline.clock(), m_store, [this](Duration pause, std::function<void()> next) {
+            m_timeline.after(pause, std::move(next));
+        })
     {
     }
 
@@ -97,9 +94,7 @@
 TEST_F(Intake, unclearWriteIsRepeatedWithPauses)
 {
     m_store.requestLost = 1;
-    m_timeline.after(milliseconds(10), [this] {
-        m_store.away = true;
-    });
+    m_timeline.after(milliseconds(10), [this] { m_store.away = true; });
     EXPECT_EQ(submit().outcome, CallOutcome::Unclear);
     EXPECT_LE(m_store.changes, 15U);
 }
@@ -168,6 +163,16 @@
     EXPECT_EQ(admitCall(&catalogue, "a", "/x/open/1", "", answer)->queue.name, QueueName("open"));
 }
 
+// Guards against a call that is held longer than its queue allows.
+TEST(Admission, callEndsWithTheTimeOfItsQueue)
+{
+    AdmittedCall call;
+    EXPECT_EQ(call.allowedTime(seconds(3)), seconds(3));
+    call.queue.callTimeout = seconds(2);
+    EXPECT_EQ(call.allowedTime(seconds(3)), seconds(2));
+    EXPECT_EQ(call.allowedTime(seconds(1)), seconds(1));
+}
+
 // Guards against jobs that no pass could ever finish or that do not fit a row.
 TEST(JobCheck, impossibleJobsAreRefused)
 {
