--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -161,9 +161,7 @@
 bool JobEngine::hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const
 {
     const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
-    return std::any_of(tasks.begin(), tasks.end(), [&all](std::size_t index) {
-        return all[index].failures > 0;
-    });
+    return std::any_of(tasks.begin(), tasks.end(), [&all](std::size_t index) { return all[index].failures > 0; });
 }
 
 void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -44,9 +44,7 @@
         , m_intake({},
                    m_clock,
                    *m_binding.store,
-                   [this](Duration pause, std::function<void()> next) {
-                       callLater(pause, std::move(next));
-                   })
+                   [this](Duration pause, std::function<void()> next) { callLater(pause, std::move(next)); })
         , m_owner(m_loop,
                   ownerTimes(m_settings),
                   m_clock,
