transport: HttpServer answers 408 for a half-sent body

Cause: cpprestsdk's listener sends a reply only after the whole body has been read, so Http.halfSentBodyIsAnsweredAndCostsNobodyElse got no 408 and the request counted as in progress until its connection ended. Ruled out: replying from another thread or closing the listener's connection; the library offers neither. Change: HttpServer keeps its interface and stands on AsyncHttpServer, on a thread of its own, with four threads for handlers. Both servers give errors in one format. Connections without a request stay open for 60 s, longer than cpprestsdk's clients keep theirs.

--- a/include/corianderscale/Transport/AsyncHttpServer.h
+++ b/include/corianderscale/Transport/AsyncHttpServer.h
@@ -29,10 +29,10 @@
 /**
  * HTTP/1.1 server over Boost.Beast on a caller's event loop.
  *
- * Unlike HttpServer it answers a request whose body does not arrive in time (408), is too large (413) or is malformed
- * (400) without waiting for the rest of it.
+ * A request whose body does not arrive in time (408), is too large (413) or is malformed (400) is answered without
+ * waiting for the rest of it.
  *
- * Thread safety: only on the thread that runs the event loop.
+ * Thread safety: only on the thread that runs the event loop, but where a method says otherwise.
  */
 class AsyncHttpServer
 {
@@ -58,7 +58,7 @@
     /** Closes the listener and the connections without a request. */
     void closeIdle();
 
-    /** Requests whose response has not been written. */
+    /** Requests whose response has not been written. Thread safety: any thread. */
     std::size_t requestsInProgress() const;
 
 private:
--- a/include/corianderscale/Transport/Http.h
+++ b/include/corianderscale/Transport/Http.h
@@ -21,6 +21,8 @@
     std::string method = "GET";
     /** Decoded path without query. On the client's side `%2F` stands for a slash inside one part of the path. */
     std::string path = "/";
+    /** Path as received, without query; only on the server's side. */
+    std::string encodedPath;
     std::map<std::string, std::string> query;
     HttpHeaders headers;
     std::string body;
@@ -44,4 +46,7 @@
 /** A response with a JSON body. */
 HttpResponse jsonResponse(int status, std::string body);
 
+/** The body by which a server rejects a request that no handler has run; both texts need no JSON escapes. */
+HttpResponse errorResponse(int status, const std::string &code, const std::string &reason);
+
 } // namespace coriander
--- a/include/corianderscale/Transport/HttpServer.h
+++ b/include/corianderscale/Transport/HttpServer.h
@@ -14,7 +14,7 @@
 
 /**
  * Handles one request. @p captures holds the parts of the path that matched `{name}` of the pattern, in order.
- * Runs on a thread of the HTTP library and must not block for long.
+ * Runs on one of a few threads for handlers and must not block for long.
  */
 using HttpHandler
     = std::function<void(const HttpRequest &request, const std::vector<std::string> &captures, HttpRespond respond)>;
@@ -24,12 +24,12 @@
     std::size_t maximumBodyBytes = 1024 * 1024;
     /** Requests in progress; more are answered 503. */
     std::size_t maximumRequests = 4096;
-    /** How long the library waits for a whole request, in seconds. */
+    /** Time from the first byte of a request to its last one, in seconds; then it is answered 408. */
     int receiveTimeoutSeconds = 10;
 };
 
 /**
- * HTTP/1.1 server over cpprestsdk.
+ * HTTP/1.1 server with routes: an AsyncHttpServer on a thread of its own and threads for the handlers.
  *
  * Thread safety: route() only before start(); the other methods from any one thread.
  */
--- a/lib/Transport/AsyncHttpServer.cpp
+++ b/lib/Transport/AsyncHttpServer.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <optional>
 #include <set>
 
@@ -25,11 +26,6 @@
 /** Pause after a failed accept, such as one without free descriptors. */
 constexpr auto AcceptRetryAfter = std::chrono::milliseconds(100);
 
-HttpResponse errorResponse(int status, const std::string &reason)
-{
-    return jsonResponse(status, "{\"error\":\"" + reason + "\"}");
-}
-
 } // namespace
 
 class AsyncHttpServer::Implementation : public std::enable_shared_from_this<AsyncHttpServer::Implementation>
@@ -56,7 +52,7 @@
     AsyncHttpLimits m_limits;
     AsyncHttpHandler m_handler;
     std::set<std::shared_ptr<Session>> m_sessions;
-    std::size_t m_inProgress = 0;
+    std::atomic<std::size_t> m_inProgress = 0;
     bool m_draining = false;
 };
 
@@ -141,14 +137,14 @@
         }
         m_mustClose = true;
         if (m_timedOut) {
-            respond(errorResponse(408, "the request did not arrive in time"));
+            respond(errorResponse(408, "invalid", "the request did not arrive in time"));
         } else if (code == http::error::body_limit) {
-            respond(errorResponse(413, "the body is too large"));
+            respond(errorResponse(413, "invalid", "the body is too large"));
         } else if (code == http::error::header_limit) {
-            respond(errorResponse(431, "the header is too large"));
+            respond(errorResponse(431, "invalid", "the header is too large"));
         } else if (code.category() == http::make_error_code(http::error::bad_method).category()
                    && code != http::error::end_of_stream && code != http::error::partial_message) {
-            respond(errorResponse(400, "malformed HTTP request"));
+            respond(errorResponse(400, "invalid", "malformed HTTP request"));
         } else {
             end();
         }
--- a/lib/Transport/Http.cpp
+++ b/lib/Transport/Http.cpp
@@ -44,4 +44,10 @@
     return response;
 }
 
+HttpResponse errorResponse(int status, const std::string &code, const std::string &reason)
+{
+    return jsonResponse(
+        status, "{\"error\":{\"code\":\"" + code + "\",\"outcome\":\"rejected\",\"reason\":\"" + reason + "\"}}");
+}
+
 } // namespace coriander
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -1,25 +1,35 @@
 #include "corianderscale/Transport/HttpServer.h"
 
 #include "corianderscale/Support/Log.h"
-#include "corianderscale/Transport/DutyThread.h"
+#include "corianderscale/Transport/AsyncHttpServer.h"
 
-#include <cpprest/http_listener.h>
-#include <cpprest/uri.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 
 #include <atomic>
 #include <cassert>
-#include <condition_variable>
-#include <mutex>
+#include <optional>
 #include <thread>
 
+#include "UriText.h"
+
 namespace coriander {
 
 namespace {
 
-namespace listener = web::http::experimental::listener;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/** Threads that run handlers; a handler that waits for the store must not delay all others. */
+constexpr std::size_t HandlerThreads = 4;
+
+/** How often a stopping server looks whether its requests have been answered. */
+constexpr Duration AnswerCheckInterval = std::chrono::milliseconds(10);
 
-/** How often requests are checked against their time limit for being received. */
-constexpr Duration ReceiveCheckInterval = std::chrono::milliseconds(200);
+/** Longer than the 30 s for which cpprestsdk clients keep an unused connection, so that the client closes first. */
+constexpr Duration IdleConnectionTime = std::chrono::seconds(60);
 
 std::vector<std::string> splitPath(const std::string &path)
 {
@@ -41,9 +51,26 @@
     return parts;
 }
 
-std::string errorJson(const std::string &code, const std::string &reason)
+/** Resolves a base address such as `http://127.0.0.1:8080` to `IPv4:port`. */
+std::optional<std::string> resolveBase(asio::io_context &loop, const std::string &base, std::string &reason)
 {
-    return "{\"error\":{\"code\":\"" + code + "\",\"outcome\":\"rejected\",\"reason\":\"" + reason + "\"}}";
+    const std::string scheme = "http://";
+    std::string authority = base.starts_with(scheme) ? base.substr(scheme.size()) : base;
+    authority = authority.substr(0, authority.find('/'));
+    const std::size_t colon = authority.rfind(':');
+    if (colon == std::string::npos) {
+        reason = "no port in the address";
+        return std::nullopt;
+    }
+    boost::system::error_code code;
+    Tcp::resolver resolver(loop);
+    const auto found = resolver.resolve(Tcp::v4(), authority.substr(0, colon), authority.substr(colon + 1), code);
+    if (code || found.empty()) {
+        reason = code ? code.message() : "no IPv4 address";
+        return std::nullopt;
+    }
+    const Tcp::endpoint endpoint = found.begin()->endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
 struct Route {
@@ -62,7 +89,7 @@
         const std::string &expected = route.pattern[i];
         // The pattern {name...} at the end takes one part; object keys are sent percent-encoded.
         if (expected.size() > 1 && expected.front() == '{') {
-            captures.push_back(web::uri::decode(path[i]));
+            captures.push_back(percentDecode(path[i]));
             continue;
         }
         if (expected != path[i]) {
@@ -72,18 +99,13 @@
     return true;
 }
 
-HttpRequest convertRequest(const web::http::http_request &message)
+AsyncHttpLimits asyncLimits(const HttpServerLimits &limits)
 {
-    HttpRequest request;
-    request.method = message.method();
-    request.path = web::uri::decode(message.relative_uri().path());
-    for (const auto &[key, value] : web::uri::split_query(message.relative_uri().query())) {
-        request.query[web::uri::decode(key)] = web::uri::decode(value);
-    }
-    for (const auto &[name, value] : message.headers()) {
-        request.headers[name] = value;
-    }
-    return request;
+    AsyncHttpLimits result;
+    result.bodyBytes = limits.maximumBodyBytes;
+    result.receiveTime = std::chrono::seconds(limits.receiveTimeoutSeconds);
+    result.idleTime = IdleConnectionTime;
+    return result;
 }
 
 } // namespace
@@ -95,115 +117,89 @@
         : m_address(std::move(address))
         , m_limits(limits)
         , m_clock(systemClock())
+        , m_loop(std::make_shared<asio::io_context>())
     {
     }
 
     void addRoute(Route route)
     {
-        assert(!m_listener && "routes are added before the server starts");
+        assert(!m_server && "routes are added before the server starts");
         m_routes.push_back(std::move(route));
     }
 
     bool start(TransportError &error)
     {
-        try {
-            listener::http_listener_config config;
-            config.set_timeout(utility::seconds(m_limits.receiveTimeoutSeconds));
-            m_listener = std::make_unique<listener::http_listener>(web::uri(m_address), config);
-            m_listener->support([self = weak_from_this()](const web::http::http_request &message) {
-                if (const auto server = self.lock()) {
-                    server->receive(message);
+        const auto server = std::make_shared<AsyncHttpServer>(
+            *m_loop, asyncLimits(m_limits), [weak = weak_from_this()](HttpRequest request, AsyncHttpRespond respond) {
+                if (const auto self = weak.lock()) {
+                    self->receive(std::move(request), std::move(respond));
                 }
             });
-            m_listener->open().wait();
-        } catch (const std::exception &exception) {
-            m_listener.reset();
+        std::string reason;
+        const std::optional<std::string> endpoint = resolveBase(*m_loop, m_address, reason);
+        TransportError failure;
+        if (!endpoint || !server->listen(*endpoint, failure)) {
             error = {TransportCode::Unreachable,
-                     "cannot listen on " + m_address + ": " + exception.what() + "; check the address in the settings"};
+                     "cannot listen on " + m_address + ": " + (endpoint ? failure.reason : reason)
+                         + "; check the address in the settings"};
             return false;
         }
-        m_timer = std::make_unique<DutyThread>("http-timeouts", [this] { expireReceiving(); });
+        m_server = server;
+        m_handlers = std::make_unique<asio::thread_pool>(HandlerThreads);
+        m_thread = std::thread([loop = m_loop] { loop->run(); });
         return true;
     }
 
     void stop(MonotonicTime deadline)
     {
-        if (!m_listener) {
+        if (!m_server) {
             return;
         }
-        {
-            std::unique_lock<std::mutex> lock(m_mutex);
-            while (m_inProgress.load() > 0 && m_clock.now() < deadline) {
-                m_answered.wait_for(lock, ReceiveCheckInterval);
-            }
+        asio::post(*m_loop, [server = m_server] { server->startDraining(); });
+        while (m_server->requestsInProgress() > 0 && m_clock.now() < deadline) {
+            std::this_thread::sleep_for(AnswerCheckInterval);
         }
-        m_timer.reset();
-        try {
-            m_listener->close().wait();
-        } catch (const std::exception &exception) {
-            logEvent(LogLevel::Warning, "http-close-failed", {{"address", m_address}, {"reason", exception.what()}});
-        }
-        m_listener.reset();
+        m_loop->stop();
+        m_thread.join();
+        m_handlers->join();
+        m_server.reset();
     }
 
     std::size_t inProgress() const
     {
-        return m_inProgress.load();
+        return m_server ? m_server->requestsInProgress() : 0;
     }
 
 private:
-    /** One request that has not been answered. */
+    /** One request that has not been answered; the loop outlives the connection that @p respond refers to. */
     struct Exchange {
-        web::http::http_request message;
-        MonotonicTime receiveDeadline;
-        std::atomic<bool> received = false;
+        std::shared_ptr<asio::io_context> loop;
+        AsyncHttpRespond respond;
         std::atomic<bool> answered = false;
     };
 
-    void receive(const web::http::http_request &message)
+    void receive(HttpRequest request, AsyncHttpRespond respond)
     {
         const auto exchange = std::make_shared<Exchange>();
-        exchange->message = message;
-        exchange->receiveDeadline = m_clock.now() + std::chrono::seconds(m_limits.receiveTimeoutSeconds);
-        if (m_inProgress.fetch_add(1) >= m_limits.maximumRequests) {
-            answer(exchange, jsonResponse(503, errorJson("overloaded", "too many requests in progress; retry later")));
+        exchange->loop = m_loop;
+        exchange->respond = std::move(respond);
+        if (m_server->requestsInProgress() > m_limits.maximumRequests) {
+            answer(exchange, errorResponse(503, "overloaded", "too many requests in progress; retry later"));
             return;
         }
-        if (message.headers().has("Transfer-Encoding")) {
-            answer(exchange, jsonResponse(411, errorJson("invalid", "send the body with a Content-Length")));
+        if (!request.header("Transfer-Encoding").empty()) {
+            answer(exchange, errorResponse(411, "invalid", "send the body with a Content-Length"));
             return;
         }
-        if (message.headers().content_length() > m_limits.maximumBodyBytes) {
-            answer(exchange, jsonResponse(413, errorJson("invalid", "the body is larger than this server accepts")));
-            return;
-        }
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            m_receiving.push_back(exchange);
-        }
-        exchange->message.extract_vector().then(
-            [self = shared_from_this(), exchange](const pplx::task<std::vector<unsigned char>> &body) {
-                self->dispatch(exchange, body);
-            });
+        asio::post(*m_handlers, [self = shared_from_this(), exchange, request = std::move(request)] {
+            self->dispatch(exchange, request);
+        });
     }
 
-    void dispatch(const std::shared_ptr<Exchange> &exchange, const pplx::task<std::vector<unsigned char>> &body)
+    void dispatch(const std::shared_ptr<Exchange> &exchange, const HttpRequest &request)
     {
-        HttpRequest request;
-        try {
-            const std::vector<unsigned char> bytes = body.get();
-            request = convertRequest(exchange->message);
-            request.body.assign(bytes.begin(), bytes.end());
-        } catch (const std::exception &) {
-            answer(exchange, jsonResponse(400, errorJson("invalid", "the request could not be read")));
-            return;
-        }
-        exchange->received = true;
-        if (exchange->answered.load()) {
-            return;
-        }
         // Captures are decoded after splitting, so that an encoded slash stays inside its part.
-        const std::vector<std::string> path = splitPath(exchange->message.relative_uri().path());
+        const std::vector<std::string> path = splitPath(request.encodedPath);
         std::vector<std::string> captures;
         bool pathKnown = false;
         for (const Route &route : m_routes) {
@@ -217,10 +213,10 @@
             }
         }
         if (pathKnown) {
-            answer(exchange, jsonResponse(405, errorJson("invalid", "this path does not take this method")));
+            answer(exchange, errorResponse(405, "invalid", "this path does not take this method"));
             return;
         }
-        answer(exchange, jsonResponse(404, errorJson("not-found", "there is nothing at this path")));
+        answer(exchange, errorResponse(404, "not-found", "there is nothing at this path"));
     }
 
     void invoke(const Route &route,
@@ -247,66 +243,23 @@
         if (exchange->answered.exchange(true)) {
             return;
         }
-        web::http::http_response reply(static_cast<web::http::status_code>(response.status));
-        for (const auto &[name, value] : response.headers) {
-            reply.headers().add(name, value);
+        if (response.header("Content-Type").empty()) {
+            response.headers["Content-Type"] = "application/octet-stream";
         }
-        reply.set_body(std::vector<unsigned char>(response.body.begin(), response.body.end()));
-        const std::string type = response.header("Content-Type");
-        reply.headers().set_content_type(type.empty() ? "application/octet-stream" : type);
-        exchange->message.reply(reply).then([self = shared_from_this()](const pplx::task<void> &sent) {
-            try {
-                sent.get();
-            } catch (const std::exception &exception) {
-                logEvent(LogLevel::Debug, "http-reply-lost", {{"reason", exception.what()}});
-            }
-            self->finishExchange();
+        // Holds no reference to the loop, which would keep itself alive if it is stopped before this runs.
+        asio::post(*m_loop, [respond = std::move(exchange->respond), response = std::move(response)]() mutable {
+            respond(std::move(response));
         });
     }
 
-    void finishExchange()
-    {
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            m_inProgress.fetch_sub(1);
-        }
-        m_answered.notify_all();
-    }
-
-    /** Answers 408 to requests whose body did not arrive in time, so that they stop counting as in progress. */
-    void expireReceiving()
-    {
-        std::this_thread::sleep_for(ReceiveCheckInterval);
-        std::vector<std::shared_ptr<Exchange>> late;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            const MonotonicTime now = m_clock.now();
-            std::erase_if(m_receiving, [&late, now](const std::shared_ptr<Exchange> &exchange) {
-                if (exchange->received.load() || exchange->answered.load()) {
-                    return true;
-                }
-                if (exchange->receiveDeadline > now) {
-                    return false;
-                }
-                late.push_back(exchange);
-                return true;
-            });
-        }
-        for (const auto &exchange : late) {
-            answer(exchange, jsonResponse(408, errorJson("invalid", "the body did not arrive in time")));
-        }
-    }
-
     std::string m_address;
     HttpServerLimits m_limits;
     Clock m_clock;
     std::vector<Route> m_routes;
-    std::unique_ptr<listener::http_listener> m_listener;
-    std::unique_ptr<DutyThread> m_timer;
-    std::atomic<std::size_t> m_inProgress = 0;
-    std::mutex m_mutex;
-    std::condition_variable m_answered;
-    std::vector<std::shared_ptr<Exchange>> m_receiving;
+    std::shared_ptr<asio::io_context> m_loop;
+    std::shared_ptr<AsyncHttpServer> m_server;
+    std::unique_ptr<asio::thread_pool> m_handlers;
+    std::thread m_thread;
 };
 
 HttpServer::HttpServer(std::string address, HttpServerLimits limits)
--- a/lib/Transport/UriText.cpp
+++ b/lib/Transport/UriText.cpp
@@ -22,23 +22,6 @@
     return -1;
 }
 
-std::string percentDecode(const std::string &text)
-{
-    std::string decoded;
-    decoded.reserve(text.size());
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool escaped
-            = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (!escaped) {
-            decoded += text[i];
-            continue;
-        }
-        decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-        i += 2;
-    }
-    return decoded;
-}
-
 std::string percentEncode(const std::string &text)
 {
     static constexpr char Digits[] = "0123456789ABCDEF";
@@ -57,6 +40,23 @@
 
 } // namespace
 
+std::string percentDecode(const std::string &text)
+{
+    std::string decoded;
+    decoded.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool escaped
+            = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
+        if (!escaped) {
+            decoded += text[i];
+            continue;
+        }
+        decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
+        i += 2;
+    }
+    return decoded;
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
@@ -77,7 +77,8 @@
 void splitTarget(const std::string &target, HttpRequest &request)
 {
     const std::size_t question = target.find('?');
-    request.path = percentDecode(target.substr(0, question));
+    request.encodedPath = target.substr(0, question);
+    request.path = percentDecode(request.encodedPath);
     std::size_t start = question == std::string::npos ? target.size() : question + 1;
     while (start < target.size()) {
         const std::size_t end = std::min(target.find('&', start), target.size());
--- a/lib/Transport/UriText.h
+++ b/lib/Transport/UriText.h
@@ -12,6 +12,9 @@
 /** Parses `IPv4:port`; no value for other texts. */
 std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &address);
 
+/** Replaces each `%XX` by its byte; other texts after a percent sign stay as they are. */
+std::string percentDecode(const std::string &text);
+
 /** Sets path and query of @p request from the target of a request line. */
 void splitTarget(const std::string &target, HttpRequest &request);
 
