unittests: soak that runs the real nodes and injects faults from outside

Four coriander-node processes, store and workers of the unit tests served on loopback with the platform's wire, and callers that submit, ask and cancel. Faults come from a seed, several at a time: kills, graceful stops, freezes and hang-ups by signals; links that are delayed, reset, held one way or both, or whose open connections go silent; a store that is away, loses answers, carries writes out late or drops its history; workers that restart, drain, are cut off, lose answers or carry orders out late; configurations. Checked: TWICE, LIMIT, BUDGET, ORDER, UNASKED, REFUSED, LOST, MIXED, the newest queue at every node, processes that end by themselves. The fake store now has a real feed with a bounded history.

Found while writing: the checker called a job that can't be done "completed" a fault. Such tasks now never get done, which is stricter.

--- /dev/null
+++ b/unittests/Soak/LoopbackProxy.cpp
@@ -0,0 +1,194 @@
+#include "Soak/LoopbackProxy.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace coriander::soak {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/** How often held bytes look whether they may go on. */
+constexpr auto HoldCheck = std::chrono::milliseconds(20);
+constexpr std::size_t ChunkBytes = 16 * 1024;
+
+void setReset(Tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+/** One client's connection and the one to the target. */
+class LoopbackProxy::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(LoopbackProxy &proxy, Tcp::socket client)
+        : m_proxy(&proxy)
+        , m_requests{std::move(client), asio::steady_timer(proxy.m_loop), {}}
+        , m_responses{Tcp::socket(proxy.m_loop), asio::steady_timer(proxy.m_loop), {}}
+    {
+    }
+
+    void start(const Tcp::endpoint &target)
+    {
+        m_responses.from.async_connect(target, [self = shared_from_this()](boost::system::error_code code) {
+            if (code) {
+                self->end(false);
+                return;
+            }
+            self->read(self->m_requests, self->m_responses);
+            self->read(self->m_responses, self->m_requests);
+        });
+    }
+
+    void end(bool reset)
+    {
+        if (m_proxy == nullptr) {
+            return;
+        }
+        LoopbackProxy *proxy = std::exchange(m_proxy, nullptr);
+        for (Flow *flow : {&m_requests, &m_responses}) {
+            boost::system::error_code ignored;
+            flow->timer.cancel();
+            if (reset) {
+                setReset(flow->from);
+            } else {
+                flow->from.close(ignored);
+            }
+        }
+        proxy->m_connections.erase(shared_from_this());
+    }
+
+    void silence()
+    {
+        m_silent = true;
+    }
+
+private:
+    /** Bytes that come from one end, and the chunk that waits to be passed on. */
+    struct Flow {
+        Tcp::socket from;
+        asio::steady_timer timer;
+        std::array<char, ChunkBytes> chunk;
+    };
+
+    bool held(const Flow &flow) const
+    {
+        const LinkFaults &faults = m_proxy->m_faults;
+        return m_silent || (&flow == &m_requests ? faults.holdsRequests : faults.holdsResponses);
+    }
+
+    void read(Flow &flow, Flow &other)
+    {
+        flow.from.async_read_some(
+            asio::buffer(flow.chunk),
+            [self = shared_from_this(), &flow, &other](boost::system::error_code code, std::size_t size) {
+                if (code || self->m_proxy == nullptr) {
+                    self->end(false);
+                    return;
+                }
+                self->passAfter(self->m_proxy->m_faults.delay, flow, other, size);
+            });
+    }
+
+    void passAfter(Duration wait, Flow &flow, Flow &other, std::size_t size)
+    {
+        if (wait == Duration(0) && !held(flow)) {
+            write(flow, other, size);
+            return;
+        }
+        flow.timer.expires_after(std::max(wait, Duration(HoldCheck)));
+        flow.timer.async_wait([self = shared_from_this(), &flow, &other, size](boost::system::error_code code) {
+            if (!code && self->m_proxy != nullptr) {
+                self->passAfter(Duration(0), flow, other, size);
+            }
+        });
+    }
+
+    void write(Flow &flow, Flow &other, std::size_t size)
+    {
+        asio::async_write(other.from,
+                          asio::buffer(flow.chunk.data(), size),
+                          [self = shared_from_this(), &flow, &other](boost::system::error_code code, std::size_t) {
+                              if (code || self->m_proxy == nullptr) {
+                                  self->end(false);
+                                  return;
+                              }
+                              self->read(flow, other);
+                          });
+    }
+
+    /** Null once the connection has ended. */
+    LoopbackProxy *m_proxy;
+    Flow m_requests;
+    Flow m_responses;
+    bool m_silent = false;
+};
+
+LoopbackProxy::LoopbackProxy(asio::io_context &loop, unsigned short targetPort)
+    : m_loop(loop)
+    , m_acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_target(asio::ip::address_v4::loopback(), targetPort)
+{
+    accept();
+}
+
+LoopbackProxy::~LoopbackProxy()
+{
+    resetConnections();
+}
+
+unsigned short LoopbackProxy::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+std::string LoopbackProxy::address() const
+{
+    return "127.0.0.1:" + std::to_string(port());
+}
+
+void LoopbackProxy::setFaults(LinkFaults faults)
+{
+    m_faults = faults;
+}
+
+void LoopbackProxy::resetConnections()
+{
+    const std::set<std::shared_ptr<Connection>> connections = m_connections;
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        connection->end(true);
+    }
+}
+
+void LoopbackProxy::silenceConnections()
+{
+    for (const std::shared_ptr<Connection> &connection : m_connections) {
+        connection->silence();
+    }
+}
+
+void LoopbackProxy::accept()
+{
+    m_acceptor.async_accept(
+        [this, alive = std::weak_ptr<int>(m_alive)](boost::system::error_code code, Tcp::socket socket) {
+            if (!alive.lock() || code == asio::error::operation_aborted) {
+                return;
+            }
+            if (!code) {
+                const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+                m_connections.insert(connection);
+                connection->start(m_target);
+            }
+            accept();
+        });
+}
+
+} // namespace coriander::soak
--- /dev/null
+++ b/unittests/Soak/SoakCallers.cpp
@@ -0,0 +1,322 @@
+#include "Soak/SoakCallers.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "platform/Names.h"
+
+namespace coriander::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+using namespace coriander::workflow;
+namespace names = coriander::platform::names;
+
+/** How long a caller waits for an answer. */
+constexpr auto CallTime = std::chrono::seconds(3);
+constexpr int MostTries = 5;
+/** Contract: an accepted job is known to every node this long after its answer. */
+constexpr auto VisibleTime = std::chrono::milliseconds(3000);
+/** Contract's 3 s from a cancel's answer to the last start, and 12 s by which orders may be carried out late. */
+constexpr auto CancelTime = std::chrono::seconds(15);
+
+/** Failed runs of a task that can't be done; ends that are lost with their worker don't count as attempts. */
+constexpr int NeverDone = 1000000;
+
+bool isFinalText(const std::string &state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+} // namespace
+
+SoakCallers::SoakCallers(boost::asio::io_context &loop,
+                         SoakPlatform &platform,
+                         std::vector<std::string> fronts,
+                         unsigned seed)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_fronts(std::move(fronts))
+    , m_random(seed)
+    , m_client(loop, AsyncHttpClient::Settings{})
+{
+    m_platform.workers.onStart = [this](const TaskKey &task, std::int64_t) {
+        taskStarted(task);
+    };
+}
+
+void SoakCallers::start()
+{
+    m_submitting = true;
+    submitNext();
+}
+
+void SoakCallers::stopSubmitting()
+{
+    m_submitting = false;
+}
+
+int SoakCallers::draw(int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(m_random);
+}
+
+void SoakCallers::after(Duration delay, std::function<void()> next)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, delay);
+    timer->async_wait([timer, next = std::move(next)](boost::system::error_code code) {
+        if (!code) {
+            next();
+        }
+    });
+}
+
+void SoakCallers::submitNext()
+{
+    if (!m_submitting) {
+        return;
+    }
+    const SubmissionPointer job = makeSubmission();
+    m_jobs[job->id] = job;
+    attempt(job);
+    after(milliseconds(draw(50, 400)), [this] { submitNext(); });
+}
+
+std::vector<SoakCallers::StepShape> SoakCallers::drawSteps(bool &urgent)
+{
+    const int workMs = draw(300, 2500);
+    switch (draw(0, 5)) {
+    case 0:
+        urgent = true;
+        return {{draw(2, 6), 2, workMs, 0, true, false}};
+    case 1:
+        return {{draw(2, 4), 1, workMs, 0, false, false}, {draw(1, 3), 1, workMs, 0, false, true}};
+    case 2:
+        return {{1, 1, workMs, NeverDone, false, false}};
+    case 3:
+        return {{draw(1, 3), 1, workMs, 1, false, false}};
+    case 4:
+        return {{draw(4, 12), 4, workMs, 0, true, false}};
+    default:
+        return {{draw(1, 8), 1, workMs, 0, false, false}};
+    }
+}
+
+SoakCallers::SubmissionPointer SoakCallers::makeSubmission()
+{
+    const auto job = std::make_shared<Submission>();
+    job->id = JobId(fmt::format("{:08x}{:08x}", m_random(), m_random()));
+    bool urgent = false;
+    job->steps = drawSteps(urgent);
+    job->wantsCancel = draw(0, 9) == 0;
+    job->path = (urgent ? "/urgent/" : "/batch/") + job->id.value();
+    Json steps = Json::array();
+    for (std::size_t s = 0; s < job->steps.size(); ++s) {
+        const StepShape &shape = job->steps[s];
+        Json step = {{"count", shape.tasks},
+                     {"cpu", 2000},
+                     {"mem_mb", 256},
+                     {"gpu", shape.accelerators},
+                     {"est_ms", shape.workMs},
+                     {"gang", shape.gang},
+                     {"same_rack", shape.gang}};
+        if (shape.afterPrevious) {
+            step["after"] = {s - 1};
+        }
+        steps.push_back(step);
+        FakeWorkers::TaskTruth truth;
+        truth.work = milliseconds(shape.workMs);
+        truth.failures = shape.failures;
+        truth.gang = shape.gang;
+        truth.gangSize = static_cast<std::size_t>(shape.tasks);
+        truth.resources = {MilliCores(2000), MemoryMib(256), Accelerators(shape.accelerators)};
+        m_platform.workers.setTruth(job->id, s, truth);
+    }
+    job->body = Json{{"spec", payloadOf(job->id)}, {"steps", steps}}.dump();
+    return job;
+}
+
+HttpRequest SoakCallers::makeRequest(const std::string &method, const std::string &path, const std::string &body) const
+{
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.headers["Host"] = SoakPlatform::Host;
+    request.headers["Content-Type"] = "application/json";
+    request.headers[names::CredentialHeader] = SoakPlatform::Credential;
+    request.headers[names::DeadlineHeader] = std::to_string(std::chrono::duration_cast<milliseconds>(CallTime).count());
+    request.body = body;
+    return request;
+}
+
+void SoakCallers::send(const std::string &method,
+                       const std::string &path,
+                       const std::string &body,
+                       AsyncHttpCompletion done)
+{
+    const std::string &front = m_fronts[static_cast<std::size_t>(draw(0, static_cast<int>(m_fronts.size()) - 1))];
+    m_client.send(front, makeRequest(method, path, body), CallTime, std::move(done));
+}
+
+void SoakCallers::attempt(const SubmissionPointer &job)
+{
+    ++job->tries;
+    send("POST", job->path, job->body, [this, job](const auto &response, const TransportError &error) {
+        if (!response && error.code == TransportCode::Unreachable) {
+            submitAnswered(job, jsonResponse(503, "{}"));
+            return;
+        }
+        submitAnswered(job, response);
+    });
+}
+
+void SoakCallers::submitAnswered(const SubmissionPointer &job, const std::optional<HttpResponse> &response)
+{
+    if (response && response->status == 200) {
+        job->acceptedAt = m_platform.timeline.now();
+        if (job->wantsCancel) {
+            after(milliseconds(draw(0, 2000)), [this, job] { cancel(job); });
+        }
+        after(milliseconds(draw(200, 3000)), [this, job] { ask(job); });
+        return;
+    }
+    const bool rejected = response && response->status == 503;
+    job->unclear = job->unclear || !rejected;
+    if (response && !rejected) {
+        EXPECT_EQ(response->status, 504) << "unexpected answer to a submission: " << response->body;
+    }
+    if (job->tries >= MostTries) {
+        job->refused = !job->unclear;
+        EXPECT_FALSE(job->refused && m_platform.workers.starts({job->id, 0, 0, 0}) > 0)
+            << "REFUSED: started before the last refusal: " << job->id;
+        return;
+    }
+    after(std::chrono::seconds(1), [this, job] { attempt(job); });
+}
+
+void SoakCallers::ask(const SubmissionPointer &job)
+{
+    send("GET", job->path, "", [this, job](const auto &response, const TransportError &) {
+        stateAnswered(job, response);
+        if (job->finalState.empty()) {
+            after(milliseconds(500), [this, job] { ask(job); });
+        }
+    });
+}
+
+void SoakCallers::stateAnswered(const SubmissionPointer &job, const std::optional<HttpResponse> &response)
+{
+    if (!response) {
+        return;
+    }
+    if (response->status == 410) {
+        EXPECT_LT(m_platform.timeline.now() - *job->acceptedAt, VisibleTime) << "LOST: 410 for accepted " << job->id;
+        return;
+    }
+    if (response->status != 200) {
+        return;
+    }
+    const std::string state = Json::parse(response->body).at("state").get<std::string>();
+    if (isFinalText(state)) {
+        job->finalState = state;
+        checkFinalState(*job);
+    }
+}
+
+void SoakCallers::checkFinalState(const Submission &job) const
+{
+    if (job.finalState == "cancelled") {
+        EXPECT_TRUE(job.wantsCancel) << "LOST: cancelled without a request: " << job.id;
+        return;
+    }
+    const bool hopeless = job.steps.front().failures >= FakeWorkers::MostAttempts;
+    EXPECT_EQ(job.finalState, hopeless ? "failed" : "completed") << "LOST or MIXED: " << job.id;
+    if (job.finalState != "completed") {
+        return;
+    }
+    for (std::size_t s = 0; s < job.steps.size(); ++s) {
+        for (int i = 0; i < job.steps[s].tasks; ++i) {
+            const TaskKey task{job.id, 0, s, static_cast<std::size_t>(i)};
+            EXPECT_TRUE(m_platform.workers.isDone(task) || job.steps[s].gang)
+                << "MIXED: shown as completed before " << toString(task) << " was done";
+        }
+    }
+}
+
+void SoakCallers::cancel(const SubmissionPointer &job)
+{
+    send("DELETE", job->path, "", [this, job](const auto &response, const TransportError &) {
+        if (response && response->status == 200) {
+            job->cancelledAt = m_platform.timeline.now();
+            return;
+        }
+        after(milliseconds(500), [this, job] { cancel(job); });
+    });
+}
+
+void SoakCallers::taskStarted(const TaskKey &task)
+{
+    const auto found = m_jobs.find(task.job);
+    ASSERT_TRUE(found != m_jobs.end()) << "UNASKED: " << toString(task);
+    const Submission &job = *found->second;
+    EXPECT_FALSE(job.refused) << "REFUSED: " << toString(task) << " starts though every attempt was rejected";
+    if (job.cancelledAt) {
+        EXPECT_LT(m_platform.timeline.now() - *job.cancelledAt, CancelTime)
+            << "UNASKED after cancel: " << toString(task);
+    }
+    for (std::size_t s = 0; s < task.step; ++s) {
+        for (int i = 0; i < job.steps[s].tasks; ++i) {
+            EXPECT_TRUE(m_platform.workers.isDone({task.job, 0, s, static_cast<std::size_t>(i)}))
+                << "ORDER: " << toString(task) << " starts before step " << s << " is done";
+        }
+    }
+}
+
+bool SoakCallers::allSettled() const
+{
+    return listUnsettled().empty();
+}
+
+std::string SoakCallers::listUnsettled() const
+{
+    std::string text;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->acceptedAt && job->finalState.empty()) {
+            text += fmt::format(
+                "{} accepted {} ms ago\n",
+                id.value(),
+                std::chrono::duration_cast<milliseconds>(m_platform.timeline.now() - *job->acceptedAt).count());
+        }
+    }
+    return text;
+}
+
+void SoakCallers::expectQueueEverywhere(const std::string &prefix)
+{
+    for (const std::string &front : m_fronts) {
+        m_client.send(front,
+                      makeRequest("GET", prefix, ""),
+                      CallTime,
+                      [front, prefix](const auto &response, const TransportError &error) {
+                          EXPECT_TRUE(response && response->status == 200)
+                              << "CONFIG: " << front << " answers " << (response ? response->status : 0) << " "
+                              << error.reason << " for the queue " << prefix;
+                      });
+    }
+}
+
+std::size_t SoakCallers::acceptedJobs() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &each) { return each.second->acceptedAt; }));
+}
+
+std::size_t SoakCallers::refusedJobs() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &each) { return each.second->refused; }));
+}
+
+} // namespace coriander::soak
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -3,8 +3,11 @@
 #include "corianderscale/Workflow/RowStore.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "Workflow/FakeWorkers.h"
 
@@ -58,10 +61,13 @@
         for (Row row : change.written) {
             row.version = m_version;
             rows[{row.table, row.key}] = row;
+            m_history.push_back(row);
         }
         for (const RowName &each : change.removed) {
             rows.erase({each.table, each.key});
+            m_history.push_back({each.table, each.key, "", m_version, true});
         }
+        answerFollowers();
         result.outcome = ChangeOutcome::Committed;
         result.version = m_version;
         return result;
@@ -114,15 +120,75 @@
         });
     }
 
-    void follow(const std::string &, RowVersion after, Duration wait, Duration, PageDone done) override
+    void follow(const std::string &table, RowVersion after, Duration wait, Duration, PageDone done) override
     {
-        m_timeline.after(wait, [done, after] { done(RowPage{{}, false, after}, {}); });
+        const std::uint64_t follower = ++m_lastFollower;
+        m_followers[follower] = {table, after, std::move(done)};
+        m_timeline.after(milliseconds(4), [this] { answerFollowers(); });
+        m_timeline.after(wait, [this, follower] {
+            auto waiting = m_followers.extract(follower);
+            if (!waiting.empty()) {
+                waiting.mapped().done(RowPage{{}, false, m_version}, {});
+            }
+        });
+    }
+
+    /** Followers that have not seen everything have to read the rows anew. */
+    void dropHistory()
+    {
+        m_history.clear();
+        m_historyFrom = m_version;
     }
 
 private:
+    struct Follower {
+        std::string table;
+        RowVersion after;
+        PageDone done;
+    };
+
+    /** The changes that a follower has not seen, or that the history is gone; no value when it has to wait. */
+    std::optional<std::pair<std::optional<RowPage>, StateError>> newsFor(const Follower &follower) const
+    {
+        if (away) {
+            return std::pair(std::optional<RowPage>(), StateError{StateCode::Unavailable, "the store answered 503"});
+        }
+        if (follower.after < m_historyFrom) {
+            return std::pair(std::optional<RowPage>(), StateError{StateCode::NotFound, "the history was dropped"});
+        }
+        RowPage page{{}, false, m_version};
+        for (const Row &row : m_history) {
+            if (row.table == follower.table && row.version > follower.after) {
+                page.rows.push_back(row);
+            }
+        }
+        if (page.rows.empty()) {
+            return std::nullopt;
+        }
+        return std::pair(std::optional(page), StateError{});
+    }
+
+    void answerFollowers()
+    {
+        for (auto at = m_followers.begin(); at != m_followers.end();) {
+            const auto news = newsFor(at->second);
+            if (!news) {
+                ++at;
+                continue;
+            }
+            m_timeline.after(milliseconds(1), [done = at->second.done, news] { done(news->first, news->second); });
+            at = m_followers.erase(at);
+        }
+    }
+
     Timeline &m_timeline;
     std::mt19937 m_random;
     RowVersion m_version;
+    /** Changes after m_historyFrom, oldest first. */
+    std::vector<Row> m_history;
+    RowVersion m_historyFrom;
+    std::map<std::uint64_t, Follower> m_followers;
+    std::uint64_t m_lastFollower = 0;
 };
 
 } // namespace coriander::workflow
