workflow: a data centre that is silent gets no new work

Ruled out: the store and the owner, which served the other zones all the while. Change: calls that are overdue by 0.3 s, two or more in one data centre without any answer from there since they were due, close it for placement until one of its workers answers. Nothing is closed when all data centres are silent. Its racks are not counted as reserved.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -2,6 +2,7 @@
 
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/Catalogue.h"
+#include "corianderscale/Workflow/DataCentreWatch.h"
 #include "corianderscale/Workflow/JobTable.h"
 #include "corianderscale/Workflow/Placement.h"
 #include "corianderscale/Workflow/Reclaim.h"
@@ -265,6 +266,7 @@
     WorkerBook m_workers;
     std::map<ClaimKey, Claim> m_claims;
     UrgentReserve m_urgentReserve;
+    DataCentreWatch m_dataCentreWatch;
     /** Jobs with rows to store, oldest change first. */
     std::set<JobId> m_dirtyJobs;
     /** Jobs that ended in this term; a late feed may still show them. */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -50,8 +50,8 @@
 class PlacementBoard
 {
 public:
-    /** @p workers must outlive the board and not change. */
-    PlacementBoard(const WorkerBook &workers, MonotonicTime now);
+    /** @p workers must outlive the board and not change. Workers in @p silent data centres take no new work. */
+    PlacementBoard(const WorkerBook &workers, MonotonicTime now, const std::set<DataCentreId> &silent = {});
 
     std::vector<BoardEntry> &entries()
     {
--- a/include/corianderscale/Workflow/WorkerBook.h
+++ b/include/corianderscale/Workflow/WorkerBook.h
@@ -71,6 +71,13 @@
     MonotonicTime foreignLeasesOver;
     bool holdInFlight = false;
     MonotonicTime holdSentAt;
+    /** When the worker was asked to answer the hold in flight at the latest. */
+    MonotonicTime holdDueAt;
+    /** Start orders without an answer, and when the first of them was sent. */
+    int startsInFlight = 0;
+    MonotonicTime startsDueAt;
+    /** When it last answered any call. */
+    MonotonicTime lastAnswerAt;
     MonotonicTime nextHoldAt;
     /** When its lists last came, which name its life. */
     MonotonicTime lastHoldAt;
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -94,6 +94,7 @@
         m_planWanted = true;
     }
     worker.silentCalls = 0;
+    worker.lastAnswerAt = now;
     if (answer.clock) {
         worker.clock = ClockSample{*answer.clock, now};
     }
@@ -124,6 +125,9 @@
     order.checkpoint = job->task(run.task).checkpoint;
     run.start = StartState::Sent;
     ++m_counts.startsSent;
+    if (worker.startsInFlight++ == 0) {
+        worker.startsDueAt = m_clock.now();
+    }
     logEvent(LogLevel::Info,
              "start-sent",
              {{"task", toString(run.task)},
@@ -158,6 +162,7 @@
     if (worker == nullptr) {
         return;
     }
+    worker->startsInFlight = std::max(0, worker->startsInFlight - 1);
     noteAnswer(*worker, answer);
     const auto found = worker->runs.find(key);
     if (found == worker->runs.end()) {
@@ -284,6 +289,7 @@
     }
     worker.holdInFlight = true;
     worker.holdSentAt = now;
+    worker.holdDueAt = now + order.wait;
     m_orders.hold(
         targetOf(worker),
         order,
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -51,7 +51,7 @@
     if (waiting.empty()) {
         return;
     }
-    PlacementBoard board(m_workers, now);
+    PlacementBoard board(m_workers, now, m_dataCentreWatch.silentAt(m_workers, now));
     m_urgentReserve.apply(urgentDemand(), board, now);
     dropOldClaims(now);
     for (const auto &[key, claim] : m_claims) {
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -15,6 +15,7 @@
 {
     worker.known = false;
     worker.holdInFlight = false;
+    worker.startsInFlight = 0;
     worker.clock.reset();
     worker.leaseGiven = false;
     worker.leaseUntil = WorkerClockMs();
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -164,7 +164,7 @@
 
 } // namespace
 
-PlacementBoard::PlacementBoard(const WorkerBook &workers, MonotonicTime now)
+PlacementBoard::PlacementBoard(const WorkerBook &workers, MonotonicTime now, const std::set<DataCentreId> &silent)
 {
     m_entries.reserve(workers.all().size());
     for (const auto &[id, worker] : workers.all()) {
@@ -172,7 +172,8 @@
             continue;
         }
         const std::size_t rack = m_racks.try_emplace(worker.report.rack, m_racks.size()).first->second;
-        m_entries.push_back({&worker, WorkerBook::freeOf(worker), rack, takesWork(worker, now)});
+        const bool open = takesWork(worker, now) && silent.count(worker.report.dataCentre) == 0;
+        m_entries.push_back({&worker, WorkerBook::freeOf(worker), rack, open});
     }
 }
 
--- a/lib/Workflow/UrgentReserve.cpp
+++ b/lib/Workflow/UrgentReserve.cpp
@@ -34,7 +34,7 @@
         const std::int64_t capacity = worker.report.capacity.accelerators.count();
         RackUse &rack = racks[worker.report.service][worker.report.rack];
         rack.entries.push_back(i);
-        rack.capacity += capacity;
+        rack.capacity += board.entries()[i].open ? capacity : 0;
         auto &[used, total] = useAndCapacity[worker.report.service];
         used += worker.used.accelerators.count();
         total += capacity;
