workflow: the owner removes states of jobs that ended long ago

Cause: rows of the table of states were never removed, so the store would fill up within weeks, and the owner remembered each ended job of its term. Change: StateSweeper reads the table a page every 5 s and removes, on condition of their version, the states of jobs that ended state_keep_s (status_s of the deployment) and a minute ago. The owner forgets ended jobs after a minute, longer than feeds are kept. Cost: one read in 5 s.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -52,6 +52,8 @@
     Duration claimTime = std::chrono::milliseconds(2500);
     /** How long a worker whose runs fail is avoided; several task lengths. */
     Duration avoidTime = std::chrono::seconds(10);
+    /** How long an ended job is remembered; above the time for which the platform keeps its feeds. */
+    Duration endedTime = std::chrono::seconds(60);
     /** How long a worker that says that it is unhealthy is avoided. */
     Duration unhealthyTime = std::chrono::seconds(2);
 };
@@ -169,6 +171,7 @@
     void failJob(Job &job, const TaskKey &task);
     void stopJob(Job &job);
     void addRowsOf(Job &job, EngineBatch &batch);
+    void forgetEndedJobs(MonotonicTime now);
     Job *findJob(const JobId &id);
     int mostAttempts(const Job &job) const;
 
@@ -269,13 +272,14 @@
     DataCentreWatch m_dataCentreWatch;
     /** Jobs with rows to store, oldest change first. */
     std::set<JobId> m_dirtyJobs;
-    /** Jobs that ended in this term; a late feed may still show them. */
-    std::set<JobId> m_ended;
+    /** Jobs that ended lately, and when; a late feed may still show them. */
+    std::map<JobId, MonotonicTime> m_ended;
     std::set<WorkerId> m_workersWithEnds;
     MonotonicTime m_startedAt;
     MonotonicTime m_termConfirmedAt;
     MonotonicTime m_nextPlanAt;
     MonotonicTime m_nextWatchAt;
+    MonotonicTime m_nextForgetAt;
     bool m_planWanted = true;
     EngineCounts m_counts;
     bool m_superseded = false;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -28,13 +28,15 @@
     double processorShare = 0.5;
     /** Longest lease that workers grant. */
     Duration longestLease = std::chrono::seconds(10);
+    /** How long the state of an ended job is shown. */
+    Duration stateKeep = std::chrono::seconds(120);
     /** Time from SIGTERM to SIGKILL. */
     Duration grace = std::chrono::seconds(6);
 };
 
 /**
  * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `processor_share`,
- * `longest_lease_ms`, `grace_s` and `log_level`.
+ * `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
--- a/include/corianderscale/Workflow/OwnerDuty.h
+++ b/include/corianderscale/Workflow/OwnerDuty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corianderscale/Workflow/JobEngine.h"
+#include "corianderscale/Workflow/StateSweeper.h"
 #include "corianderscale/Workflow/TableFollower.h"
 #include "corianderscale/Workflow/TermChain.h"
 
@@ -25,6 +26,7 @@
 struct OwnerTimes {
     TermTimes term;
     EngineTimes engine;
+    StateSweeper::Times sweeper;
     /** How often the engine looks at what is due. */
     Duration stepEvery = std::chrono::milliseconds(50);
     /** How often the discovery is read; workers report every 1.5 s. */
@@ -95,6 +97,7 @@
     std::optional<TableFollower> m_jobsFollower;
     std::optional<TableFollower> m_workersFollower;
     std::unique_ptr<JobEngine> m_engine;
+    std::optional<StateSweeper> m_sweeper;
     bool m_restored = false;
     std::optional<EngineBatch> m_batch;
     MonotonicTime m_isolatedSince = NeverDue;
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -222,6 +222,15 @@
     }
 }
 
+void JobEngine::forgetEndedJobs(MonotonicTime now)
+{
+    if (now < m_nextForgetAt) {
+        return;
+    }
+    m_nextForgetAt = now + m_times.endedTime;
+    std::erase_if(m_ended, [this, now](const auto &each) { return now - each.second > m_times.endedTime; });
+}
+
 EngineBatch JobEngine::takeBatch(std::size_t mostRows)
 {
     EngineBatch batch;
@@ -235,7 +244,7 @@
         Job &job = found->second;
         addRowsOf(job, batch);
         if (isFinal(job.state) && !job.anyAssigned()) {
-            m_ended.insert(id);
+            m_ended[id] = m_clock.now();
             m_jobs.erase(found);
         }
     }
@@ -284,6 +293,7 @@
     }
     const MonotonicTime now = m_clock.now();
     expireLeases(now);
+    forgetEndedJobs(now);
     watch(now);
     if (m_planWanted || now >= m_nextPlanAt) {
         plan(now);
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -131,6 +131,7 @@
         OwnerTimes times;
         const double weakness = std::clamp(OwnerCores / settings.processorShare - 1, 0.0, MostWeakness);
         times.term.handicap = std::chrono::duration_cast<Duration>(HandicapStep * weakness);
+        times.sweeper.keep = settings.stateKeep;
         times.engine.longestLease = settings.longestLease;
         times.engine.lease = settings.longestLease * LeasePercent / 100;
         return times;
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -46,6 +46,8 @@
     };
     result.longestLease = std::chrono::milliseconds(
         settings.integer("longest_lease_ms", milliseconds(result.longestLease), LeastLeaseMs, MaximumMs));
+    const double keepSeconds = readFraction(settings, "state_keep_s", 120, MaximumSeconds);
+    result.stateKeep = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(keepSeconds));
     const double graceSeconds = readFraction(settings, "grace_s", 6, MaximumSeconds);
     result.grace = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(graceSeconds));
     result.processorShare = readFraction(settings, "processor_share", result.processorShare, MaximumCores);
--- a/lib/Workflow/OwnerDuty.cpp
+++ b/lib/Workflow/OwnerDuty.cpp
@@ -116,6 +116,7 @@
     m_restored = false;
     m_progress.clear();
     m_isolatedSince = NeverDue;
+    m_sweeper.emplace(m_times.sweeper, m_clock, m_store);
     TableFollower::Settings progress;
     progress.table = ProgressTable;
     m_progressReader.emplace(m_loop,
@@ -285,6 +286,7 @@
     if (m_engine && batch) {
         m_engine->batchStored(*batch);
         m_engine->step();
+        m_sweeper->step();
     }
 }
 
