workflow, platform: steps that need advice are started with tickets

Cause: jobs of a queue with an advice service were accepted and waited for good, which on a deployment that uses it is a lost job. Change: AdviceBook asks the advisor, one question at a time, about up to 30 workers: those approved before, then those with room, then the others that could ever hold a task. Placement, preemption and held room use approved workers only; starts carry the ticket and none goes out in the last 0.3 s of its validity; a worker that rejects a ticket is asked about again. Tests: Advised.* (tickets that expire, a service that fails, rejected tickets), AdvisorMessages.*.

--- a/include/corianderscale/Workflow/Catalogue.h
+++ b/include/corianderscale/Workflow/Catalogue.h
@@ -35,7 +35,7 @@
     Duration callTimeout{};
     /** Whether calls need no credential. */
     bool open = false;
-    /** Whether tasks need an approval of the advice service; such tasks are not started, see docs/promises.md. */
+    /** Whether tasks need an approval of the advisor. */
     bool needsAdvice = false;
 };
 
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corianderscale/Support/Time.h"
+#include "corianderscale/Workflow/AdviceBook.h"
 #include "corianderscale/Workflow/Catalogue.h"
 #include "corianderscale/Workflow/DataCentreWatch.h"
 #include "corianderscale/Workflow/JobTable.h"
@@ -99,6 +100,9 @@
     JobEngine(const JobEngine &) = delete;
     JobEngine &operator=(const JobEngine &) = delete;
 
+    /** Without one, steps of queues that need advice wait. @p advisor must outlive the engine. */
+    void setAdvisor(Advisor *advisor);
+
     void setCatalogue(std::shared_ptr<const Catalogue> catalogue);
 
     /** @name Jobs */
@@ -219,6 +223,7 @@
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
+    static StepKey stepKey(const Candidate &candidate);
     bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
     /** Keeps later candidates of this pass from workers where a gang will soon fit. */
     static void hold(const PlacementNeed &need, PlacementBoard &board);
@@ -264,6 +269,7 @@
     Epoch m_epoch;
     WorkerOrders &m_orders;
     std::function<void()> m_wantsStorage;
+    AdviceBook m_advice;
     std::shared_ptr<const Catalogue> m_catalogue;
     std::map<JobId, Job> m_jobs;
     WorkerBook m_workers;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -24,6 +24,8 @@
     std::string metricsListen;
     /** `IPv4:port` of the store. */
     std::string store;
+    /** `IPv4:port` of the advisor; empty where there is none. */
+    std::string advisor;
     /** Cores that the process may use. */
     double processorShare = 0.5;
     /** Longest lease that workers grant. */
@@ -35,8 +37,8 @@
 };
 
 /**
- * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `processor_share`,
- * `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
+ * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `advisor`,
+ * `processor_share`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
@@ -83,6 +85,7 @@
 struct PlatformBinding {
     std::unique_ptr<RowStore> store;
     std::unique_ptr<WorkerOrders> orders;
+    std::unique_ptr<Advisor> advisor;
     ConfigurationSource configuration;
     DiscoverySource discovery;
     std::function<std::unique_ptr<CallerFront>(NodeView &)> makeFront;
--- a/include/corianderscale/Workflow/OwnerDuty.h
+++ b/include/corianderscale/Workflow/OwnerDuty.h
@@ -51,6 +51,7 @@
               InstanceId instance,
               RowStore &store,
               WorkerOrders &orders,
+              Advisor *advisor,
               DiscoverySource discovery);
     ~OwnerDuty();
     OwnerDuty(const OwnerDuty &) = delete;
@@ -88,6 +89,7 @@
     Clock m_clock;
     RowStore &m_store;
     WorkerOrders &m_orders;
+    Advisor *m_advisor;
     DiscoverySource m_discovery;
     boost::asio::steady_timer m_timer;
     TermChain m_chain;
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -28,6 +28,8 @@
     std::size_t mostPerWorker = 0;
     /** Tasks of the step that workers hold already; read only with a bound. */
     std::map<WorkerId, std::size_t> held;
+    /** The only workers that may be used, where an advisor decides. */
+    std::optional<std::set<WorkerId>> approved;
     /** Workers to use only when nothing else is left. */
     std::set<WorkerId> avoid;
 };
--- a/include/corianderscale/Workflow/WorkerMessages.h
+++ b/include/corianderscale/Workflow/WorkerMessages.h
@@ -50,6 +50,8 @@
     WorkerClockMs leaseUntil;
     /** State to resume from; empty for none. */
     std::string checkpoint;
+    /** The advisor's approval; empty where none is needed. */
+    std::string ticket;
 };
 
 struct StopOrder {
@@ -70,6 +72,8 @@
     Done,
     /** The worker says that it did not and will not do it. */
     Refused,
+    /** The worker did not do it because the start carries no valid ticket of the advisor. */
+    NotApproved,
     /** The worker has seen a higher epoch and did nothing. */
     Superseded,
     /** Another incarnation runs at the address; the one that was meant is gone. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -13,6 +13,7 @@
     , m_epoch(epoch)
     , m_orders(orders)
     , m_wantsStorage(std::move(wantsStorage))
+    , m_advice(m_clock, [this] { m_planWanted = true; })
     , m_startedAt(m_clock.now())
     , m_termConfirmedAt(m_startedAt)
     , m_nextPlanAt(m_startedAt)
@@ -21,6 +22,11 @@
 
 JobEngine::~JobEngine() = default;
 
+void JobEngine::setAdvisor(Advisor *advisor)
+{
+    m_advice.setAdvisor(advisor);
+}
+
 void JobEngine::setCatalogue(std::shared_ptr<const Catalogue> catalogue)
 {
     m_catalogue = std::move(catalogue);
@@ -245,6 +251,7 @@
         addRowsOf(job, batch);
         if (isFinal(job.state) && !job.anyAssigned()) {
             m_ended[id] = m_clock.now();
+            m_advice.forget(id);
             m_jobs.erase(found);
         }
     }
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -14,6 +14,8 @@
         return "done";
     case OrderOutcome::Refused:
         return "refused";
+    case OrderOutcome::NotApproved:
+        return "not-approved";
     case OrderOutcome::Superseded:
         return "superseded";
     case OrderOutcome::OtherIncarnation:
@@ -123,6 +125,7 @@
     order.payload = job->spec.payload;
     order.leaseUntil = *lease;
     order.checkpoint = job->task(run.task).checkpoint;
+    order.ticket = m_advice.ticket({run.task.job, run.task.occurrence, run.task.step}, worker);
     run.start = StartState::Sent;
     ++m_counts.startsSent;
     if (worker.startsInFlight++ == 0) {
@@ -186,6 +189,9 @@
         found->second.start = StartState::Unclear;
         return;
     }
+    if (answer.outcome == OrderOutcome::NotApproved) {
+        m_advice.dropTicket({key.first.job, key.first.occurrence, key.first.step}, to.worker);
+    }
     if (answer.outcome == OrderOutcome::Refused) {
         worker->avoidedUntil = std::max(worker->avoidedUntil, now + m_times.unhealthyTime);
     }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -68,7 +68,7 @@
     std::vector<Candidate> found;
     for (auto &[id, job] : m_jobs) {
         const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (isFinal(job.state) || queue == nullptr || queue->needsAdvice) {
+        if (isFinal(job.state) || queue == nullptr) {
             continue;
         }
         addCandidates(job, *queue, now, found);
@@ -154,6 +154,9 @@
     need.sameRack = step.gang && step.sameRack;
     need.urgent = candidate.queue->priority == 0;
     need.mostPerWorker = step.mostPerWorker;
+    if (candidate.queue->needsAdvice) {
+        need.approved = m_advice.approved(stepKey(candidate), m_workers);
+    }
     const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
     for (const Task &task : all) {
         if (task.phase == TaskPhase::Assigned) {
@@ -181,6 +184,11 @@
     }
 }
 
+StepKey JobEngine::stepKey(const Candidate &candidate)
+{
+    return {candidate.job->spec.id, candidate.occurrence, candidate.step};
+}
+
 bool JobEngine::hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const
 {
     const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
@@ -223,6 +231,9 @@
         }
         assign(candidate, tasks, workers, now);
     }
+    if (need.approved && entries.size() < tasks.size()) {
+        m_advice.ask(stepKey(candidate), board, need);
+    }
     if (entries.empty() && gang && !need.urgent && !candidate.late) {
         hold(need, board);
     }
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -51,6 +51,7 @@
                   InstanceId(m_settings.instance + "/" + randomHex(6)),
                   *m_binding.store,
                   *m_binding.orders,
+                  m_binding.advisor.get(),
                   m_binding.discovery)
         , m_configuration(m_loop, *m_binding.store, followerSettings(m_binding), followerHooks())
         , m_front(m_binding.makeFront(*this))
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -41,6 +41,7 @@
     result.readinessListen = settings.requiredText("readiness_listen");
     result.metricsListen = settings.text("metrics_listen", "");
     result.store = settings.requiredText("store");
+    result.advisor = settings.text("advisor", "");
     const auto milliseconds = [](Duration duration) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     };
--- a/lib/Workflow/OwnerDuty.cpp
+++ b/lib/Workflow/OwnerDuty.cpp
@@ -45,12 +45,14 @@
                      InstanceId instance,
                      RowStore &store,
                      WorkerOrders &orders,
+                     Advisor *advisor,
                      DiscoverySource discovery)
     : m_loop(loop)
     , m_times(times)
     , m_clock(std::move(clock))
     , m_store(store)
     , m_orders(orders)
+    , m_advisor(advisor)
     , m_discovery(std::move(discovery))
     , m_timer(loop)
     , m_chain(times.term,
@@ -113,6 +115,7 @@
 {
     m_engine = std::make_unique<JobEngine>(m_times.engine, m_clock, epoch, m_orders, [this] { m_chain.step(); });
     m_engine->setCatalogue(m_catalogue);
+    m_engine->setAdvisor(m_advisor);
     m_restored = false;
     m_progress.clear();
     m_isolatedSince = NeverDue;
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -198,7 +198,8 @@
         const Worker &worker = *m_entries[i].worker;
         const bool unsound = (need.soundOnly || need.provenOnly) && worker.failuresInRow > 0;
         const bool unproven = need.provenOnly && worker.runsDone == 0;
-        if (report.service != need.service || unsound || unproven) {
+        const bool approved = !need.approved || need.approved->count(report.id) > 0;
+        if (report.service != need.service || unsound || unproven || !approved) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
--- a/unittests/Platform/MessagesTest.cpp
+++ b/unittests/Platform/MessagesTest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "platform/AdvisorCalls.h"
 #include "platform/CatalogueMessages.h"
 #include "platform/JobMessages.h"
 #include "platform/StoreCalls.h"
@@ -197,5 +198,27 @@
     EXPECT_FALSE(hold.contains("deadline_ms"));
 }
 
+// Guards against questions and tickets that the advisor or a worker would not understand.
+TEST(AdvisorMessages, questionAdviceAndTicket)
+{
+    const Json question = Json::parse(encodeQuestion({JobId("5c0e7a21d94b36f8"), 2, 1}, {WorkerId("i-7f3a91c2")}));
+    EXPECT_EQ(question, Json::parse(R"({"step":"5c0e7a21d94b36f8.2.1","workers":["i-7f3a91c2"]})"));
+    ProtocolError error;
+    const auto advice = decodeAdvice(R"({"good":[["i-7f3a91c2","c81e-7a21d94b"]],"valid_ms":3000})", error);
+    ASSERT_TRUE(advice) << error.reason;
+    ASSERT_EQ(advice->approved.size(), 1U);
+    EXPECT_EQ(advice->approved[0].first, WorkerId("i-7f3a91c2"));
+    EXPECT_EQ(advice->approved[0].second, "c81e-7a21d94b");
+    EXPECT_EQ(advice->valid, std::chrono::seconds(3));
+    EXPECT_FALSE(decodeAdvice(R"({"good":[["i-7f3a91c2"]],"valid_ms":3000})", error));
+    EXPECT_FALSE(error.reason.empty());
+    StartOrder order;
+    EXPECT_FALSE(Json::parse(encodeStart({}, order)).contains("ticket"));
+    order.ticket = "c81e-7a21d94b";
+    EXPECT_EQ(Json::parse(encodeStart({}, order)).at("ticket"), "c81e-7a21d94b");
+    EXPECT_EQ(decodeOrderAnswer(response(409, R"({"clock_ms":5,"reason":"ticket"})"), {}).outcome,
+              OrderOutcome::NotApproved);
+}
+
 } // namespace
 } // namespace coriander::platform
--- a/unittests/Soak/SoakPlatform.cpp
+++ b/unittests/Soak/SoakPlatform.cpp
@@ -94,6 +94,9 @@
     case OrderOutcome::Superseded:
         body["reason"] = "fence";
         return jsonResponse(409, body.dump());
+    case OrderOutcome::NotApproved:
+        body["reason"] = "ticket";
+        return jsonResponse(409, body.dump());
     case OrderOutcome::OtherIncarnation:
         return jsonResponse(421, body.dump());
     case OrderOutcome::Unreachable:
--- /dev/null
+++ b/unittests/Workflow/AdviceTest.cpp
@@ -0,0 +1,88 @@
+#include "Workflow/EngineWorld.h"
+#include "Workflow/FakeAdvisor.h"
+
+namespace coriander::workflow {
+namespace {
+
+using std::chrono::seconds;
+
+/** Six workers, two of which the advisor approves for every step. */
+class Advised : public ::testing::Test
+{
+protected:
+    Advised()
+        : m_advisor(m_world.timeline)
+    {
+        m_world.addWorkers(6);
+        m_advisor.good = {WorkerId("w2"), WorkerId("w4")};
+        auto catalogue = std::make_shared<Catalogue>(*m_world.catalogue);
+        for (QueueSpec &queue : catalogue->queues) {
+            queue.needsAdvice = true;
+        }
+        m_world.catalogue = catalogue;
+        m_world.workers.ticketIsValid = [this](const WorkerId &worker, const StartOrder &order) {
+            const bool valid = m_advisor.accepts(worker, order);
+            m_rejected += valid ? 0 : 1;
+            return valid;
+        };
+        m_world.startOwner();
+        m_world.engine->setAdvisor(&m_advisor);
+        m_world.runFor(seconds(1));
+    }
+
+    void submit(const std::string &id, std::size_t tasks, std::int64_t accelerators, bool gang)
+    {
+        StepSpec step;
+        step.tasks = tasks;
+        step.perTask = resources(1, accelerators);
+        step.estimate = seconds(2);
+        step.gang = gang;
+        m_world.submit(m_world.job(id, 1, {step}), {});
+    }
+
+    EngineWorld m_world;
+    FakeAdvisor m_advisor;
+    int m_rejected = 0;
+};
+
+// Guards against tasks that start where the policy forbids it, or wait although workers are approved.
+TEST_F(Advised, tasksRunOnApprovedWorkersWithTheirTickets)
+{
+    submit("gang", 2, 8, true);
+    submit("each", 3, 4, false);
+    m_world.runFor(seconds(12));
+    EXPECT_EQ(m_world.shown(JobId("gang")), JobState::Completed);
+    EXPECT_EQ(m_world.shown(JobId("each")), JobState::Completed);
+    EXPECT_EQ(m_rejected, 0);
+}
+
+// Guards against tickets that are used after their end, and a question for every pass.
+TEST_F(Advised, expiredTicketsAreAskedForAgain)
+{
+    m_advisor.valid = seconds(1);
+    submit("long", 12, 8, false);
+    m_world.runFor(seconds(20));
+    EXPECT_EQ(m_world.shown(JobId("long")), JobState::Completed);
+    EXPECT_EQ(m_rejected, 0);
+    EXPECT_LT(m_advisor.questions, 40);
+}
+
+// Guards against jobs that wait for good after the advisor was away, or after a worker forgot its tickets.
+TEST_F(Advised, goesOnAfterFailedQuestionsAndRejectedTickets)
+{
+    m_advisor.away = true;
+    submit("job", 2, 8, false);
+    m_world.runFor(seconds(3));
+    EXPECT_EQ(m_world.workers.starts({JobId("job"), 0, 0, 0}), 0U);
+    m_advisor.away = false;
+    int left = 2;
+    const auto valid = m_world.workers.ticketIsValid;
+    m_world.workers.ticketIsValid = [&left, valid](const WorkerId &worker, const StartOrder &order) {
+        return left-- <= 0 && valid(worker, order);
+    };
+    m_world.runFor(seconds(10));
+    EXPECT_EQ(m_world.shown(JobId("job")), JobState::Completed);
+}
+
+} // namespace
+} // namespace coriander::workflow
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -190,6 +190,8 @@
             target, [this, target, order] { return runHold(target, order); }, std::move(done));
     }
 
+    /** Whether a start carries a valid ticket; empty where none is needed. */
+    std::function<bool(const WorkerId &, const StartOrder &)> ticketIsValid;
     /** Called on every accepted start; may be empty. */
     std::function<void(const TaskKey &, std::int64_t run)> onStart;
     OrderFaults faults;
@@ -290,6 +292,10 @@
             answer.reason = "old";
             return answer;
         }
+        if (ticketIsValid && !ticketIsValid(target.worker, order)) {
+            answer.outcome = OrderOutcome::NotApproved;
+            return answer;
+        }
         answer.outcome = OrderOutcome::Done;
         begin(*machine, key);
         return answer;
