workflow: an owner that stops is replaced after 1.4 s

The owner counted as gone 2 s after its last write, and the others read the term every 0.6 s. Ruled out: missing room (no preemption at the next owner) and its start (0.05 s from term-won to the first placement). Change: 1.4 s; heartbeats every 0.3 s; strong VMs read every 0.4 s, weak ones more rarely by the time for which they leave a free term to others; calls of the term give up after 0.7 s, so that one lost answer does not make the owner look gone.

--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -13,17 +13,17 @@
 /** Times of the election and of the owner's writes. */
 struct TermTimes {
     /** The owner writes at least this often; a call a heartbeat is priced. */
-    Duration heartbeatEvery = std::chrono::milliseconds(500);
-    /** How often the others read the term. */
-    Duration readEvery = std::chrono::milliseconds(600);
-    /** A weak VM leaves a free term to stronger ones for this long. */
+    Duration heartbeatEvery = std::chrono::milliseconds(300);
+    /** How often the others read the term; a weak VM, which does not take it first, reads it more rarely. */
+    Duration readEvery = std::chrono::milliseconds(400);
+    /** A weak VM leaves a free term to stronger ones for this long, and reads it this much later each time. */
     Duration handicap{};
     /** An owner that wrote nothing for this long is replaced; several heartbeats, and answers of a slow store. */
-    Duration silentTime = std::chrono::milliseconds(2000);
+    Duration silentTime = std::chrono::milliseconds(1400);
     /** Least time between two writes of the owner; lets changes share a write. */
     Duration writePause = std::chrono::milliseconds(25);
     /** How long one call may take; a slow store answers within 0.5 s. */
-    Duration callLimit = std::chrono::milliseconds(1500);
+    Duration callLimit = std::chrono::milliseconds(700);
     /** Pause after a call that failed. */
     Duration retryAfter = std::chrono::milliseconds(150);
     /** An owner whose writes are not confirmed for this long gives up the term. */
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -100,7 +100,7 @@
 {
     const MonotonicTime now = m_clock.now();
     m_callInFlight = false;
-    m_nextCallAt = now + (page ? m_times.readEvery : m_times.retryAfter);
+    m_nextCallAt = now + (page ? m_times.readEvery + m_times.handicap : m_times.retryAfter);
     if (!page) {
         m_readFailed = true;
         return;
--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -200,5 +200,39 @@
     }
 }
 
+// Guards against urgent jobs that wait long for a new owner; their objective leaves about 1.5 s beside the work. Over
+// all phases of heartbeats and reads.
+TEST_F(Chain, frozenOwnerIsReplacedWithinTwoSecondsOrSo)
+{
+    Member *owner = &add("vm1/a");
+    m_timeline.runFor(seconds(3));
+    Member *other = &add("vm2/b");
+    for (int i = 0; i < 20; ++i) {
+        m_timeline.runFor(seconds(3) + milliseconds(70 * i));
+        ASSERT_TRUE(owner->chain().owned());
+        owner->paused = true;
+        m_timeline.runFor(milliseconds(2300));
+        EXPECT_TRUE(other->chain().owned()) << "phase " << i;
+        owner->paused = false;
+        std::swap(owner, other);
+    }
+}
+
+// Guards against a change of the owner for each lost answer of the store.
+TEST_F(Chain, singleLostAnswersDoNotChangeTheOwner)
+{
+    Member &first = add("vm1/a");
+    m_timeline.runFor(seconds(3));
+    Member &second = add("vm2/b");
+    for (int i = 0; i < 10; ++i) {
+        m_store.answerLost = 1;
+        m_timeline.runFor(milliseconds(300));
+        m_store.answerLost = 0;
+        m_timeline.runFor(seconds(2));
+    }
+    EXPECT_TRUE(first.chain().owned());
+    EXPECT_TRUE(second.wonEpochs.empty());
+}
+
 } // namespace
 } // namespace coriander::workflow
