unittests: an owner has to be elected while the store is slow (known red)

Chain.ownerIsElectedWhileTheStoreIsSlow fails: writes that are answered after 1.2 s are given up after 0.7 s, so nobody learns that it was elected. The limit was lowered so that one lost answer does not change the owner; both need another value or another way to learn of an election, to be measured.

--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -52,6 +52,51 @@
     TermChain m_chain;
 };
 
+/** A store whose answers to writes take long; a write takes effect halfway, whether or not its caller still waits. */
+class SlowStore : public RowStore
+{
+public:
+    SlowStore(Timeline &timeline, FakeRowStore &store, Duration answerTime)
+        : m_timeline(timeline)
+        , m_store(store)
+        , m_answerTime(answerTime)
+    {
+    }
+
+    void change(RowChange change, Duration limit, ChangeDone done) override
+    {
+        const bool inTime = m_answerTime <= limit;
+        m_timeline.after(m_answerTime / 2, [this, change, inTime, done] {
+            const ChangeResult result = m_store.apply(change);
+            if (inTime) {
+                m_timeline.after(m_answerTime / 2, [done, result] { done(result); });
+            }
+        });
+        if (!inTime) {
+            m_timeline.after(limit, [done] { done({ChangeOutcome::Unknown, {}, {}, "no response in time"}); });
+        }
+    }
+
+    void read(const std::string &table,
+              const std::string &from,
+              const std::string &to,
+              Duration limit,
+              PageDone done) override
+    {
+        m_store.read(table, from, to, limit, std::move(done));
+    }
+
+    void follow(const std::string &table, RowVersion after, Duration wait, Duration limit, PageDone done) override
+    {
+        m_store.follow(table, after, wait, limit, std::move(done));
+    }
+
+private:
+    Timeline &m_timeline;
+    FakeRowStore &m_store;
+    Duration m_answerTime;
+};
+
 class Chain : public ::testing::Test
 {
 protected:
@@ -234,5 +279,15 @@
     EXPECT_TRUE(second.wonEpochs.empty());
 }
 
+// Guards against a store that is 50 times slower and lets writes wait for up to a second, at which nobody learns that
+// it was elected.
+TEST_F(Chain, ownerIsElectedWhileTheStoreIsSlow)
+{
+    SlowStore slow(m_timeline, m_store, milliseconds(1200));
+    m_members.push_back(std::make_unique<Member>(m_timeline, slow, "vm1/a"));
+    m_timeline.runFor(seconds(5));
+    EXPECT_TRUE(m_members.back()->chain().owned());
+}
+
 } // namespace
 } // namespace coriander::workflow
