Workflow: send the term's writes again while earlier calls go on

Cause: a call of the term gave up after 0.7 s. While the store is 50 times slower its answers to writes take longer, so no instance learnt that it was elected (Chain.ownerIsElectedWhileTheStoreIsSlow, known red). A longer timeout alone makes one lost answer change the owner (Chain.singleLostAnswersDoNotChangeTheOwner).

Change: one sending of a write waits up to 2.8 s; after 0.7 s without an answer the write is sent once more beside it. All sendings expect the same version, so one takes effect, and a conflict with the own row shows that. Followers add four times the duration of their last read to the time after which a silent owner is replaced. An unreadable row of the term counts as a failed read; before, it counted as a term that had not changed.

--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Workflow/Records.h"
 #include "corianderscale/Workflow/RowStore.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,11 +24,16 @@
     Duration silenceTimeout = std::chrono::milliseconds(1400);
     /** Minimum time between two writes of the owner, so that several changes share a write. */
     Duration minimumWriteInterval = std::chrono::milliseconds(25);
-    /**
-     * Timeout of one call to the store; half of silenceTimeout, so that one lost answer does not cause a change of
-     * owner. A slow store may take longer, see KNOWN-RED.txt.
-     */
-    Duration storeCallTimeout = std::chrono::milliseconds(700);
+    /** Timeout of a read of the term. */
+    Duration readTimeout = std::chrono::milliseconds(700);
+    /** A write that is not answered within this time is sent once more, while the earlier calls go on. Half of
+     * silenceTimeout, so that one lost answer does not cause a change of owner. */
+    Duration resendAfter = std::chrono::milliseconds(700);
+    /** Timeout of one sending of a write. A slow store answers after more than a second. */
+    Duration writeTimeout = std::chrono::milliseconds(2800);
+    /** A read that takes long shows that the owner's writes take long too: this many times the duration of the last
+     * read is added to silenceTimeout. */
+    int silencePerReadTime = 4;
     /** Pause after a failed call. */
     Duration retryAfter = std::chrono::milliseconds(150);
     /** An owner whose writes are not confirmed for this long gives up the term. */
@@ -104,9 +110,12 @@
     void takeTerm();
     void startWrite(RowChange change, bool hasHookRows);
     void sendWrite();
-    void finishWrite(const ChangeResult &result);
-    void writeStored(RowVersion version);
-    void writeConflict(const std::vector<Row> &current);
+    /** Whether the current write may be sent, or sent once more, at @p now. */
+    bool isWriteDue(MonotonicTime now) const;
+    /** Handles the outcome of one sending of the write with the number @p write. */
+    void finishWrite(std::uint64_t write, MonotonicTime sentAt, const ChangeResult &result);
+    void writeStored(RowVersion version, MonotonicTime sentAt);
+    void writeConflict(const std::vector<Row> &current, MonotonicTime sentAt);
     void endTerm(const std::string &reason);
     /** Whether an earlier process of this node holds the term. */
     bool heldByEarlierProcess() const;
@@ -118,7 +127,10 @@
     RowStore &m_store;
     Hooks m_hooks;
     Role m_role = Role::Follower;
-    bool m_callInFlight = false;
+    bool m_readInFlight = false;
+    MonotonicTime m_readSentAt;
+    /** Duration of the last answered read. */
+    Duration m_readTook{};
     MonotonicTime m_nextCallAt;
     /** The row of the term as last read or written. */
     RowVersion m_version;
@@ -130,9 +142,13 @@
     MonotonicTime m_unchangedSince;
     /** The write whose outcome is not known yet. */
     std::optional<RowChange> m_write;
+    /** Number of the current write; an answer to an earlier write is ignored. */
+    std::uint64_t m_writeNumber = 0;
+    /** Sendings of the current write that are not answered yet. */
+    int m_sendingsInFlight = 0;
+    MonotonicTime m_resendAt;
     /** Whether the write contains rows from Hooks::nextChange, in addition to the row of the term. */
     bool m_writeHasHookRows = false;
-    MonotonicTime m_writeSentAt;
     MonotonicTime m_lastStoredAt;
     TermRecord m_writtenRecord;
     /** Whether it was logged that the outcome of the current write is not known. */
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -51,11 +51,13 @@
     if (m_role == Role::Owner && now > m_lastStoredAt + m_times.confirmationTimeout) {
         endTerm("no write was confirmed within the limit");
     }
-    if (m_callInFlight || now < m_nextCallAt) {
+    if (m_write) {
+        if (isWriteDue(now)) {
+            sendWrite();
+        }
         return;
     }
-    if (m_write) {
-        sendWrite();
+    if (m_readInFlight || now < m_nextCallAt) {
         return;
     }
     if (m_role == Role::Follower) {
@@ -84,11 +86,12 @@
 
 void TermChain::startRead()
 {
-    m_callInFlight = true;
+    m_readInFlight = true;
+    m_readSentAt = m_clock.now();
     m_store.read(OwnerTable,
                  OwnerKey,
                  keyAfter(OwnerKey),
-                 m_times.storeCallTimeout,
+                 m_times.readTimeout,
                  [this, alive = std::weak_ptr<int>(m_alive)](const std::optional<RowPage> &page, const StateError &) {
                      if (alive.lock()) {
                          finishRead(page);
@@ -99,12 +102,13 @@
 void TermChain::finishRead(const std::optional<RowPage> &page)
 {
     const MonotonicTime now = m_clock.now();
-    m_callInFlight = false;
+    m_readInFlight = false;
     m_nextCallAt = now + (page ? m_times.readInterval + m_times.followerDelay : m_times.retryAfter);
     if (!page) {
         m_readFailed = true;
         return;
     }
+    m_readTook = now - m_readSentAt;
     if (page->rows.empty()) {
         observe(RowVersion(0), TermRecord{});
         return;
@@ -112,6 +116,7 @@
     ProtocolError error;
     const std::optional<TermRecord> record = decodeTerm(page->rows.front().value, error);
     if (!record) {
+        m_readFailed = true;
         logEvent(LogLevel::Error, "term-row-unreadable", {{"reason", error.reason}});
         return;
     }
@@ -129,7 +134,8 @@
     m_version = version;
     m_record = *record;
     const bool free = m_record.holder.empty() || heldByEarlierProcess();
-    const Duration wait = m_times.followerDelay + (free ? Duration(0) : m_times.silenceTimeout);
+    const Duration silence = m_times.silenceTimeout + m_times.silencePerReadTime * m_readTook;
+    const Duration wait = m_times.followerDelay + (free ? Duration(0) : silence);
     if (!m_paused && now - m_unchangedSince >= wait && m_hooks.mayTake()) {
         takeTerm();
     }
@@ -157,7 +163,8 @@
              {{"epoch", m_record.epoch.count() + 1},
               {"from", m_record.holder},
               {"unchanged_ms",
-               std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_unchangedSince).count()}});
+               std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_unchangedSince).count()},
+              {"read_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_readTook).count()}});
     m_role = Role::Taking;
     startWrite({}, false);
 }
@@ -174,34 +181,44 @@
     change.expected.push_back({OwnerTable, OwnerKey, m_version});
     change.written.push_back({OwnerTable, OwnerKey, encodeTerm(m_writtenRecord), {}, false});
     m_write = std::move(change);
+    ++m_writeNumber;
+    m_sendingsInFlight = 0;
     m_writeHasHookRows = hasHookRows;
     sendWrite();
 }
 
+bool TermChain::isWriteDue(MonotonicTime now) const
+{
+    return now >= (m_sendingsInFlight > 0 ? m_resendAt : m_nextCallAt);
+}
+
 void TermChain::sendWrite()
 {
-    m_callInFlight = true;
-    m_writeSentAt = m_clock.now();
-    m_store.change(
-        *m_write, m_times.storeCallTimeout, [this, alive = std::weak_ptr<int>(m_alive)](const ChangeResult &result) {
-            if (alive.lock()) {
-                finishWrite(result);
-            }
-        });
+    const MonotonicTime now = m_clock.now();
+    ++m_sendingsInFlight;
+    m_resendAt = now + m_times.resendAfter;
+    m_store.change(*m_write,
+                   m_times.writeTimeout,
+                   [this, alive = std::weak_ptr<int>(m_alive), write = m_writeNumber, sentAt = now](
+                       const ChangeResult &result) {
+                       if (alive.lock()) {
+                           finishWrite(write, sentAt, result);
+                       }
+                   });
 }
 
-void TermChain::finishWrite(const ChangeResult &result)
+void TermChain::finishWrite(std::uint64_t write, MonotonicTime sentAt, const ChangeResult &result)
 {
-    m_callInFlight = false;
-    if (!m_write) {
+    if (!m_write || write != m_writeNumber) {
         return;
     }
+    --m_sendingsInFlight;
     switch (result.outcome) {
     case ChangeOutcome::Committed:
-        writeStored(result.version);
+        writeStored(result.version, sentAt);
         return;
     case ChangeOutcome::Conflict:
-        writeConflict(result.current);
+        writeConflict(result.current, sentAt);
         return;
     case ChangeOutcome::NotDone:
     case ChangeOutcome::Unknown:
@@ -235,11 +252,11 @@
     return false;
 }
 
-void TermChain::writeConflict(const std::vector<Row> &current)
+void TermChain::writeConflict(const std::vector<Row> &current, MonotonicTime sentAt)
 {
     RowVersion version;
     if (isOwnWrite(current, version)) {
-        writeStored(version);
+        writeStored(version, sentAt);
         return;
     }
     m_write.reset();
@@ -252,7 +269,7 @@
     m_nextCallAt = m_clock.now() + m_times.readInterval;
 }
 
-void TermChain::writeStored(RowVersion version)
+void TermChain::writeStored(RowVersion version, MonotonicTime sentAt)
 {
     m_write.reset();
     if (m_openWriteLogged) {
@@ -269,7 +286,7 @@
         m_role = Role::Owner;
         logEvent(LogLevel::Info, "term-won", {{"epoch", m_record.epoch}, {"version", version}});
         m_hooks.won(m_record.epoch);
-        m_hooks.confirmed(m_writeSentAt);
+        m_hooks.confirmed(sentAt);
         return;
     }
     if (m_role == Role::Releasing) {
@@ -278,7 +295,7 @@
         logEvent(LogLevel::Info, "term-released", {{"epoch", m_record.epoch}});
         return;
     }
-    m_hooks.confirmed(m_writeSentAt);
+    m_hooks.confirmed(sentAt);
     if (m_writeHasHookRows) {
         m_hooks.changeStored();
     }
--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -52,14 +52,15 @@
     TermChain m_chain;
 };
 
-/** A store that answers writes slowly. A write takes effect after half the answer time, even if its call timed out. */
+/** A store that answers slowly. A write takes effect after half the answer time, even if its call timed out. */
 class SlowStore : public RowStore
 {
 public:
-    SlowStore(Timeline &timeline, FakeRowStore &store, Duration answerTime)
+    SlowStore(Timeline &timeline, FakeRowStore &store, Duration answerTime, Duration readTime = Duration(0))
         : m_timeline(timeline)
         , m_store(store)
         , m_answerTime(answerTime)
+        , m_readTime(readTime)
     {
     }
 
@@ -83,7 +84,9 @@
               Duration limit,
               PageDone done) override
     {
-        m_store.read(table, from, to, limit, std::move(done));
+        m_timeline.after(m_readTime, [this, table, from, to, limit, done = std::move(done)] {
+            m_store.read(table, from, to, limit, done);
+        });
     }
 
     void follow(const std::string &table, RowVersion after, Duration wait, Duration limit, PageDone done) override
@@ -95,6 +98,7 @@
     Timeline &m_timeline;
     FakeRowStore &m_store;
     Duration m_answerTime;
+    Duration m_readTime;
 };
 
 class Chain : public ::testing::Test
@@ -290,5 +294,37 @@
     EXPECT_TRUE(m_instances.back()->chain().owned());
 }
 
+// Guards against changes of the owner while the store is slow: the owner's writes then take longer than the time after
+// which a silent owner is replaced.
+TEST_F(Chain, slowStoreDoesNotChangeTheOwner)
+{
+    SlowStore slow(m_timeline, m_store, milliseconds(1700), milliseconds(250));
+    m_instances.push_back(std::make_unique<Instance>(m_timeline, slow, "vm1/a"));
+    m_timeline.runFor(seconds(6));
+    ASSERT_TRUE(m_instances.front()->chain().owned());
+    m_instances.push_back(std::make_unique<Instance>(m_timeline, slow, "vm2/b"));
+    m_timeline.runFor(seconds(20));
+    EXPECT_TRUE(m_instances.front()->chain().owned());
+    EXPECT_TRUE(m_instances.back()->wonEpochs.empty());
+}
+
+// Guards against a row that cannot be decoded counting as a term that has not changed.
+TEST_F(Chain, unreadableTermIsNotTaken)
+{
+    add("vm1/a");
+    m_timeline.runFor(seconds(3));
+    Instance &other = add("vm2/b");
+    m_timeline.runFor(seconds(1));
+    m_instances.front()->paused = true;
+    const Row readable = *m_store.find(OwnerTable, OwnerKey);
+    for (int i = 0; i < 4; ++i) {
+        m_store.rows[{OwnerTable, OwnerKey}].value = "not a term";
+        m_timeline.runFor(milliseconds(700));
+        m_store.rows[{OwnerTable, OwnerKey}] = readable;
+        m_timeline.runFor(milliseconds(700));
+    }
+    EXPECT_TRUE(other.wonEpochs.empty());
+}
+
 } // namespace
 } // namespace coriander::workflow
