Workflow: instances without the store hand calls to neighbours that reach it

Change: - StoreWatch derives from all calls of an instance whether it reaches the store. Two failures in a row, or one and a call that is overdue, show that it does not; a slow store is told apart by the duration of its answers. - NeighbourTable: instances register in the table members and renew their rows every 120 s; the owner removes old rows. - CallRouter asks up to three neighbours within the caller's time limit when the store is unreachable here. A neighbour whose configuration is older than the caller's instance declines. An instance that saw an answer of a newer configuration than its own decides no call by its own. A call whose outcome at a neighbour is unknown is never refused as not done. - The decisions (decision::chooseNeighbours, decision::callerReturnAfter) stand apart from input and output. - While the store is unreachable it is probed every 150 ms, so that its return is noticed.

Tests: CallRouter.jobsOfInstancesWithoutTheStoreAreAcceptedByNeighbours replays three of nine instances turned away for 9 s under 90 jobs a second; it fails with neighboursPerCall 0, as do lostAnswerOfANeighbourIsNotARefusal and noCallIsServedByAConfigurationOlderThanOneSeen. Admission.callEndsWithTheTimeOfItsQueue asks the function that replaced AdmittedCall::timeLimit, with more cases than before.

--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -26,6 +26,11 @@
     Unclear,
 };
 
+/** The name of an outcome in logs, labels and messages. */
+const char *callOutcomeName(CallOutcome outcome);
+/** No value if no outcome has this name. */
+std::optional<CallOutcome> callOutcomeFromName(const std::string &name);
+
 struct CallAnswer {
     CallOutcome outcome = CallOutcome::Done;
     std::string reason;
@@ -44,11 +49,15 @@
     QueueSpec queue;
     /** Empty for a call to an open queue whose credential is missing or unknown. */
     OrganisationId organisation;
-
-    /** Time limit of the call: @p callerTimeout, or the queue's call timeout if that is shorter. */
-    Duration timeLimit(Duration callerTimeout) const;
 };
 
+/** Time limit of a call: @p callerTimeout, or the call timeout of its queue if that is known and shorter. Thread safety:
+ * pure. */
+Duration callTimeLimit(const Catalogue *catalogue,
+                       const std::string &host,
+                       const std::string &path,
+                       Duration callerTimeout);
+
 /** Finds the queue of a call and checks its credential. Returns no value, and the answer in @p answer, if the call is
  * rejected. Thread safety: pure. */
 std::optional<AdmittedCall> admitCall(const Catalogue *catalogue,
--- a/include/corianderscale/Workflow/JobSpec.h
+++ b/include/corianderscale/Workflow/JobSpec.h
@@ -79,6 +79,8 @@
 
 /** The name of a state in logs, stored rows and answers to callers. */
 const char *jobStateName(JobState state);
+/** Precondition: @p name is the name of a state; else throws std::out_of_range. */
+JobState jobStateFromName(const std::string &name);
 
 /** Names one task of one occurrence of a job. */
 struct TaskKey {
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "corianderscale/Support/YamlReader.h"
+#include "corianderscale/Workflow/CallRelay.h"
+#include "corianderscale/Workflow/CallRouter.h"
 #include "corianderscale/Workflow/JobIntake.h"
+#include "corianderscale/Workflow/NeighbourTable.h"
 #include "corianderscale/Workflow/NodeMetrics.h"
 #include "corianderscale/Workflow/OwnerController.h"
+#include "corianderscale/Workflow/StoreWatch.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,6 +26,8 @@
     std::string callerListen;
     std::string readinessListen;
     std::string metricsListen;
+    /** `IPv4:port` for calls of other instances; empty if calls are not relayed. */
+    std::string relayListen;
     /** `IPv4:port` of the store. */
     std::string store;
     /** `IPv4:port` of the advisor; empty where there is none. */
@@ -37,7 +43,7 @@
 };
 
 /**
- * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `store`, `advisor`,
+ * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`, `advisor`,
  * `processor_share`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
@@ -57,6 +63,8 @@
     /** The configuration in force; null until one was read. */
     virtual const Catalogue *catalogue() const = 0;
     virtual JobIntake &intake() = 0;
+    /** Serves a call here or through another instance. */
+    virtual void route(const CallerCall &call, CallDone done) = 0;
     /** Counts an answered call and logs it if it failed; @p subject is the job id or the path of the call. */
     virtual void callAnswered(const std::string &kind,
                               const std::string &subject,
@@ -73,6 +81,8 @@
 {
 public:
     virtual ~CallerServer() = default;
+    /** Serves a call on this instance; answers by @p deadline. */
+    virtual void serve(const CallerCall &call, MonotonicTime deadline, CallDone done) = 0;
     virtual bool listen(const std::string &callers, const std::string &readiness, TransportError &error) = 0;
     virtual void setLimits(const CallerLimits &limits) = 0;
     /** From then on, each response closes its connection. */
--- a/include/corianderscale/Workflow/NodeMetrics.h
+++ b/include/corianderscale/Workflow/NodeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Workflow/CallRouter.h"
 #include "corianderscale/Workflow/JobEngine.h"
 #include "corianderscale/Workflow/JobIntake.h"
 
@@ -37,7 +38,10 @@
         const JobEngine *engine = nullptr;
         /** Version of the configuration in force; 0 before the first one. */
         std::int64_t configuration = 0;
-        bool storeReachable = true;
+        StoreReach store = StoreReach::Reachable;
+        /** Known instances that can be asked to serve a call. */
+        std::size_t neighbours = 0;
+        RoutingCounts routing;
         std::size_t requestsInProgress = 0;
     };
 
@@ -51,9 +55,7 @@
     prometheus::Family<prometheus::Counter> &m_calls;
     prometheus::Family<prometheus::Histogram> &m_callSeconds;
     prometheus::Family<prometheus::Gauge> &m_runs;
+    prometheus::Family<prometheus::Gauge> &m_routed;
 };
 
-/** The name of an outcome in logs and labels. */
-const char *callOutcomeName(CallOutcome outcome);
-
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/Records.h
+++ b/include/corianderscale/Workflow/Records.h
@@ -23,6 +23,8 @@
 inline constexpr const char *WaitingTable = "waiting";
 /** A single row, the TermRecord, with the key OwnerKey. */
 inline constexpr const char *OwnerTable = "owner";
+/** MemberRecord of each instance, by the name of its VM. */
+inline constexpr const char *MembersTable = "members";
 ///@}
 
 inline constexpr const char *OwnerKey = "term";
@@ -45,6 +47,13 @@
     std::int64_t sequence = 0;
 };
 
+/** Where an instance takes calls from other instances. */
+struct MemberRecord {
+    DataCentreId dataCentre;
+    /** `IPv4:port`. */
+    std::string relayAddress;
+};
+
 /** The stored state of a job, as shown to its submitter. */
 struct StateRecord {
     JobState state = JobState::Queued;
@@ -91,6 +100,8 @@
 std::optional<StateRecord> decodeState(const std::string &bytes, ProtocolError &error);
 std::string encodeTerm(const TermRecord &record);
 std::optional<TermRecord> decodeTerm(const std::string &bytes, ProtocolError &error);
+std::string encodeMember(const MemberRecord &record);
+std::optional<MemberRecord> decodeMember(const std::string &bytes, ProtocolError &error);
 std::string encodeOccurrence(const OccurrenceRecord &record);
 std::optional<OccurrenceRecord> decodeOccurrence(const std::string &bytes, ProtocolError &error);
 ///@}
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -37,6 +37,43 @@
 
 } // namespace
 
+const char *callOutcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Done:
+        return "done";
+    case CallOutcome::Unauthorized:
+        return "unauthorized";
+    case CallOutcome::NoSuchQueue:
+        return "no-such-queue";
+    case CallOutcome::NoSuchJob:
+        return "no-such-job";
+    case CallOutcome::Invalid:
+        return "invalid";
+    case CallOutcome::Refused:
+        return "refused";
+    case CallOutcome::Unclear:
+        return "unclear";
+    }
+    return "unknown";
+}
+
+std::optional<CallOutcome> callOutcomeFromName(const std::string &name)
+{
+    for (const CallOutcome outcome : {CallOutcome::Done,
+                                      CallOutcome::Unauthorized,
+                                      CallOutcome::NoSuchQueue,
+                                      CallOutcome::NoSuchJob,
+                                      CallOutcome::Invalid,
+                                      CallOutcome::Refused,
+                                      CallOutcome::Unclear}) {
+        if (name == callOutcomeName(outcome)) {
+            return outcome;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> checkJob(const JobSpec &job)
 {
     if (job.steps.empty() || job.steps.size() > MaximumSteps) {
@@ -61,6 +98,18 @@
     return std::nullopt;
 }
 
+Duration callTimeLimit(const Catalogue *catalogue,
+                       const std::string &host,
+                       const std::string &path,
+                       Duration callerTimeout)
+{
+    const QueueSpec *queue = catalogue == nullptr ? nullptr : catalogue->queueFor(host, path);
+    if (queue == nullptr || queue->callTimeout == Duration(0)) {
+        return callerTimeout;
+    }
+    return std::min(callerTimeout, queue->callTimeout);
+}
+
 std::optional<AdmittedCall> admitCall(const Catalogue *catalogue,
                                       const std::string &host,
                                       const std::string &path,
@@ -84,11 +133,6 @@
     return AdmittedCall{*queue, organisation == nullptr ? OrganisationId() : organisation->id};
 }
 
-Duration AdmittedCall::timeLimit(Duration callerTimeout) const
-{
-    return queue.callTimeout > Duration(0) ? std::min(callerTimeout, queue.callTimeout) : callerTimeout;
-}
-
 /** A write for a caller; sent again until its outcome is known or its deadline is near. */
 struct JobIntake::Write {
     const char *event = "";
--- a/lib/Workflow/JobSpec.cpp
+++ b/lib/Workflow/JobSpec.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <stdexcept>
+
 namespace coriander::workflow {
 
 const char *jobStateName(JobState state)
@@ -21,6 +23,17 @@
     return "unknown";
 }
 
+JobState jobStateFromName(const std::string &name)
+{
+    for (const JobState state :
+         {JobState::Queued, JobState::Running, JobState::Completed, JobState::Failed, JobState::Cancelled}) {
+        if (name == jobStateName(state)) {
+            return state;
+        }
+    }
+    throw std::out_of_range("unknown job state " + name);
+}
+
 std::string toString(const TaskKey &key)
 {
     return fmt::format("{}.{}.{}.{}", key.job.value(), key.occurrence, key.step, key.index);
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -32,6 +32,11 @@
 /** The instance is not ready when the store is unreachable for this long, because it cannot accept jobs. */
 constexpr Duration StoreUnreachableTimeout = std::chrono::milliseconds(1000);
 
+/** Timeout of a probe while the store is unreachable, and the pause before the next one. An idle store answers within
+    10 ms; a slow one is noticed by the other calls. */
+constexpr Duration ProbeTimeout = std::chrono::milliseconds(100);
+constexpr Duration ProbePause = std::chrono::milliseconds(50);
+
 } // namespace
 
 class NodeDaemon::Implementation : public NodeContext
@@ -43,20 +48,36 @@
         , m_binding(makeBinding(m_loop, m_settings, m_clock))
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_loop)
+        , m_store({}, m_clock, *m_binding.store, [this](bool reachable, const std::string &reason) {
+            handleStoreReachability(reachable, reason);
+        })
         , m_intake({},
                    m_clock,
-                   *m_binding.store,
+                   m_store,
                    [this](Duration pause, std::function<void()> next) { callLater(pause, std::move(next)); })
         , m_owner(m_loop,
                   ownerTimes(m_settings),
                   m_clock,
                   InstanceId(m_settings.instance + "/" + randomHex(6)),
-                  *m_binding.store,
+                  m_store,
                   *m_binding.orders,
                   m_binding.advisor.get(),
                   m_binding.discovery)
-        , m_configuration(m_loop, *m_binding.store, followerSettings(m_binding), followerHooks())
+        , m_configuration(m_loop, m_store, followerSettings(m_binding), followerHooks())
         , m_callerServer(m_binding.makeCallerServer(*this))
+        , m_neighbours(m_loop,
+                       {},
+                       m_clock,
+                       m_store,
+                       {m_settings.instance, m_settings.dataCentre, m_settings.relayListen},
+                       [this] { return m_owner.epoch().has_value(); })
+        , m_relay(m_loop,
+                  [this](const CallerCall &call,
+                         ConfigurationVersion atLeast,
+                         const std::function<void(const RoutedAnswer &)> &done) {
+                      m_router.serveForNeighbour(call, atLeast, done);
+                  })
+        , m_router({}, m_clock, m_store, m_settings.dataCentre, routerHooks())
         , m_metricsServer(m_loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
             respond(showMetrics(request));
         })
@@ -73,6 +94,11 @@
         if (!m_settings.metricsListen.empty() && !m_metricsServer.listen(m_settings.metricsListen, error)) {
             logEvent(LogLevel::Error, "metrics-off", {{"reason", error.reason}});
         }
+        const bool relays = !m_settings.relayListen.empty();
+        if (relays && !m_relay.listen(m_settings.relayListen, error)) {
+            logEvent(LogLevel::Error, "listen-failed", {{"reason", error.reason}});
+            return ExitFailed;
+        }
         logEvent(LogLevel::Info,
                  "started",
                  {{"data_centre", m_settings.dataCentre},
@@ -82,6 +108,9 @@
         waitForSignal();
         m_configuration.start();
         m_owner.start();
+        if (relays) {
+            m_neighbours.start();
+        }
         m_loop.run();
         logEvent(LogLevel::Info, "stopped", {{"requests_open", m_callerServer->requestsInProgress()}});
         return ExitSuccess;
@@ -97,6 +126,11 @@
         return m_intake;
     }
 
+    void route(const CallerCall &call, CallDone done) override
+    {
+        m_router.route(call, std::move(done));
+    }
+
     void callAnswered(const std::string &kind,
                       const std::string &subject,
                       const CallAnswer &answer,
@@ -119,8 +153,8 @@
 
     bool ready() const override
     {
-        const bool storeUnreachable
-            = m_storeUnreachableSince != NeverDue && m_clock.now() - m_storeUnreachableSince > StoreUnreachableTimeout;
+        const std::optional<MonotonicTime> since = m_store.unreachableSince();
+        const bool storeUnreachable = since && m_clock.now() - *since > StoreUnreachableTimeout;
         return m_catalogue != nullptr && !m_drainDeadline && !storeUnreachable;
     }
 
@@ -158,8 +192,24 @@
                 applyConfiguration(row);
             }
         };
-        return {take, take, [this](bool reachable, const std::string &reason) {
-                    handleStoreReachability(reachable, reason);
+        return {take, take, {}};
+    }
+
+    CallRouter::Hooks routerHooks()
+    {
+        return {/*serve=*/[this](const CallerCall &call, MonotonicTime deadline, CallDone done) {
+                    m_callerServer->serve(call, deadline, std::move(done));
+                },
+                /*relay=*/
+                [this](const std::string &address,
+                       const CallerCall &call,
+                       ConfigurationVersion atLeast,
+                       Duration limit,
+                       const RelayDone &done) { m_relay.send(address, call, atLeast, limit, done); },
+                /*neighbours=*/[this] { return m_neighbours.neighbours(); },
+                /*configuration=*/
+                [this] {
+                    return m_catalogue ? m_catalogue->version : ConfigurationVersion();
                 }};
     }
 
@@ -172,7 +222,9 @@
         readings.epoch = m_owner.epoch();
         readings.engine = m_owner.engine();
         readings.configuration = m_catalogue ? m_catalogue->version.count() : 0;
-        readings.storeReachable = m_storeUnreachableSince == NeverDue;
+        readings.store = m_store.reach();
+        readings.neighbours = m_neighbours.neighbours().size();
+        readings.routing = m_router.counts();
         readings.requestsInProgress = m_callerServer->requestsInProgress();
         HttpResponse response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
@@ -217,10 +269,23 @@
 
     void handleStoreReachability(bool reachable, const std::string &reason)
     {
-        m_storeUnreachableSince = reachable ? NeverDue : m_clock.now();
         logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
                  reachable ? "store-regained" : "store-lost",
                  {{"reason", reason}});
+        if (!reachable) {
+            probeStore();
+        }
+    }
+
+    /** Reads one row again and again until the store answers, so that its return is noticed soon. */
+    void probeStore()
+    {
+        m_store.read(
+            OwnerTable, OwnerKey, keyAfter(OwnerKey), ProbeTimeout, [this](const auto &, const StateError &) {
+                if (m_store.reach() == StoreReach::Unreachable) {
+                    callLater(ProbePause, [this] { probeStore(); });
+                }
+            });
     }
 
     void waitForSignal()
@@ -245,6 +310,7 @@
         m_drainDeadline = now + std::max(m_settings.grace - ExitMargin, m_settings.grace / 2);
         logEvent(LogLevel::Info, "draining", {{"requests_open", m_callerServer->requestsInProgress()}});
         m_callerServer->startDraining();
+        m_relay.startDraining();
         m_owner.retire();
         continueDraining();
     }
@@ -252,9 +318,11 @@
     void continueDraining()
     {
         const MonotonicTime now = m_clock.now();
-        const bool idle = m_callerServer->requestsInProgress() == 0 && m_owner.ownsNoTerm();
+        const std::size_t requests = m_callerServer->requestsInProgress() + m_relay.requestsInProgress();
+        const bool idle = requests == 0 && m_owner.ownsNoTerm();
         if ((now >= m_drainUntil && idle) || now >= *m_drainDeadline) {
             m_callerServer->closeIdle();
+            m_relay.closeIdle();
             m_loop.stop();
             return;
         }
@@ -273,14 +341,17 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_drainTimer;
     std::shared_ptr<const Catalogue> m_catalogue;
-    MonotonicTime m_storeUnreachableSince = NeverDue;
     MonotonicTime m_drainUntil = NeverDue;
     std::optional<MonotonicTime> m_drainDeadline;
+    StoreWatch m_store;
     JobIntake m_intake;
     OwnerController m_owner;
     TableFollower m_configuration;
     NodeMetrics m_metrics;
     std::unique_ptr<CallerServer> m_callerServer;
+    NeighbourTable m_neighbours;
+    CallRelay m_relay;
+    CallRouter m_router;
     AsyncHttpServer m_metricsServer;
 };
 
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -11,27 +11,6 @@
 
 } // namespace
 
-const char *callOutcomeName(CallOutcome outcome)
-{
-    switch (outcome) {
-    case CallOutcome::Done:
-        return "done";
-    case CallOutcome::Unauthorized:
-        return "unauthorized";
-    case CallOutcome::NoSuchQueue:
-        return "no-such-queue";
-    case CallOutcome::NoSuchJob:
-        return "no-such-job";
-    case CallOutcome::Invalid:
-        return "invalid";
-    case CallOutcome::Refused:
-        return "refused";
-    case CallOutcome::Unclear:
-        return "unclear";
-    }
-    return "unknown";
-}
-
 NodeMetrics::NodeMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_calls(prometheus::BuildCounter()
@@ -46,6 +25,10 @@
                  .Name("coriander_term_runs")
                  .Help("Runs since this owner's term began, by event")
                  .Register(*m_registry))
+    , m_routed(prometheus::BuildGauge()
+                   .Name("coriander_calls_routed")
+                   .Help("Calls handed to neighbours, served for them or refused without the store, by event")
+                   .Register(*m_registry))
 {
 }
 
@@ -68,7 +51,17 @@
     setGauge("coriander_configuration_version",
              "Version of the configuration in force",
              static_cast<double>(readings.configuration));
-    setGauge("coriander_store_reachable", "Whether the last call to the store succeeded", readings.storeReachable);
+    setGauge("coriander_store_reachable",
+             "Whether recent calls to the store succeeded",
+             readings.store != StoreReach::Unreachable);
+    setGauge("coriander_store_slow", "Whether the store answers late", readings.store == StoreReach::Slow);
+    setGauge("coriander_neighbours",
+             "Instances that can be asked to serve a call",
+             static_cast<double>(readings.neighbours));
+    m_routed.Add({{"event", "relayed"}}).Set(static_cast<double>(readings.routing.relayed));
+    m_routed.Add({{"event", "relayed-served"}}).Set(static_cast<double>(readings.routing.relayedServed));
+    m_routed.Add({{"event", "served-for-neighbour"}}).Set(static_cast<double>(readings.routing.servedForNeighbours));
+    m_routed.Add({{"event", "refused-without-store"}}).Set(static_cast<double>(readings.routing.refusedWithoutStore));
     setGauge("coriander_requests_in_progress",
              "Calls that are not answered yet",
              static_cast<double>(readings.requestsInProgress));
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -40,6 +40,7 @@
     result.callerListen = settings.requiredText("caller_listen");
     result.readinessListen = settings.requiredText("readiness_listen");
     result.metricsListen = settings.text("metrics_listen", "");
+    result.relayListen = settings.text("relay_listen", "");
     result.store = settings.requiredText("store");
     result.advisor = settings.text("advisor", "");
     const auto milliseconds = [](Duration duration) {
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -78,17 +78,6 @@
     return step;
 }
 
-JobState stateFromName(const std::string &name)
-{
-    for (const JobState state :
-         {JobState::Queued, JobState::Running, JobState::Completed, JobState::Failed, JobState::Cancelled}) {
-        if (name == jobStateName(state)) {
-            return state;
-        }
-    }
-    throw std::out_of_range("unknown job state " + name);
-}
-
 TaskPhase phaseFromNumber(int number)
 {
     if (number < 0 || number > static_cast<int>(TaskPhase::Done)) {
@@ -235,7 +224,7 @@
         bytes,
         [](const Json &value) {
             StateRecord record;
-            record.state = stateFromName(value.at("s").get<std::string>());
+            record.state = jobStateFromName(value.at("s").get<std::string>());
             record.queue = QueueName(value.at("q").get<std::string>());
             record.organisation = OrganisationId(value.at("o").get<std::string>());
             record.since = WallTime(Duration(value.at("t").get<std::int64_t>()));
@@ -263,6 +252,24 @@
         error);
 }
 
+std::string encodeMember(const MemberRecord &record)
+{
+    return toBytes({{"d", record.dataCentre.value()}, {"r", record.relayAddress}});
+}
+
+std::optional<MemberRecord> decodeMember(const std::string &bytes, ProtocolError &error)
+{
+    return fromBytes<MemberRecord>(
+        bytes,
+        [](const Json &value) {
+            MemberRecord record;
+            record.dataCentre = DataCentreId(value.at("d").get<std::string>());
+            record.relayAddress = value.at("r").get<std::string>();
+            return record;
+        },
+        error);
+}
+
 std::string encodeOccurrence(const OccurrenceRecord &record)
 {
     WorkerNumbers workers;
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -31,6 +31,8 @@
     double requestLost = 0;
     /** Whether the store refuses all calls. */
     bool isUnreachable = false;
+    /** Time from a call to its effect, and from there to the answer. */
+    Duration answerTime = milliseconds(4);
     /** Number of calls of change() so far. */
     std::size_t changes = 0;
 
@@ -92,12 +94,12 @@
             answer(limit, {ChangeOutcome::Unknown, {}, {}, "no response in time"});
         } else {
             const bool lost = draw < requestLost + delayedProbability + responseLossProbability;
-            m_timeline.after(milliseconds(4), [this, change, lost, limit, answer] {
+            m_timeline.after(answerTime, [this, change, lost, limit, answer] {
                 const ChangeResult result = apply(change);
                 if (lost) {
                     answer(limit, {ChangeOutcome::Unknown, {}, {}, "no response in time"});
                 } else {
-                    answer(milliseconds(4), result);
+                    answer(answerTime, result);
                 }
             });
         }
@@ -106,7 +108,7 @@
     void read(
         const std::string &table, const std::string &from, const std::string &to, Duration, PageDone done) override
     {
-        m_timeline.after(milliseconds(4), [this, table, from, to, done] {
+        m_timeline.after(answerTime, [this, table, from, to, done] {
             if (isUnreachable) {
                 done(std::nullopt, {StateCode::Unavailable, "the store answered with status 503"});
                 return;
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -167,11 +167,22 @@
 // Guards against a call that takes longer than its queue allows.
 TEST(Admission, callEndsWithTheTimeOfItsQueue)
 {
-    AdmittedCall call;
-    EXPECT_EQ(call.timeLimit(seconds(3)), seconds(3));
-    call.queue.callTimeout = seconds(2);
-    EXPECT_EQ(call.timeLimit(seconds(3)), seconds(2));
-    EXPECT_EQ(call.timeLimit(seconds(1)), seconds(1));
+    Catalogue catalogue;
+    QueueSpec queue;
+    queue.name = QueueName("q");
+    queue.host = "a";
+    queue.prefix = "/x/";
+    catalogue.queues.push_back(queue);
+    queue.name = QueueName("short");
+    queue.prefix = "/x/short/";
+    queue.callTimeout = seconds(2);
+    catalogue.queues.push_back(queue);
+    catalogue.index();
+    EXPECT_EQ(callTimeLimit(nullptr, "a", "/x/1", seconds(3)), seconds(3));
+    EXPECT_EQ(callTimeLimit(&catalogue, "a", "/other", seconds(3)), seconds(3));
+    EXPECT_EQ(callTimeLimit(&catalogue, "a", "/x/1", seconds(3)), seconds(3));
+    EXPECT_EQ(callTimeLimit(&catalogue, "a", "/x/short/1", seconds(3)), seconds(2));
+    EXPECT_EQ(callTimeLimit(&catalogue, "a", "/x/short/1", seconds(1)), seconds(1));
 }
 
 // Guards against accepting jobs that can never complete or that do not fit into a row.
