Workflow: runs that would not end before their worker leaves start elsewhere

Work on them went on until they were gone. A gang lost all its members with one worker, and its member on that worker counted as running until the lease had ended, 8.5 s later.

Change: JobEngineDrain checks the runs on draining workers; decision::shouldEvacuate compares the earliest time at which the worker leaves with the time that the run still needs by its measured progress. Runs that end in time stay.

Tests: Drain.gangsRunAgainBeforeTheirWorkersLeave replays six of 40 workers leaving 1.9 s after a notice under ten gangs; it and Drain.longRunningTasksMoveAtOnce fail without the change.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -66,6 +66,8 @@
     /** How long an ended job is remembered, so that a delayed change feed of the jobs table does not add it again;
      * longer than the platform keeps the changes of its feeds. */
     Duration endedJobRetention = std::chrono::seconds(60);
+    /** Typical age of a worker's report when it is read. */
+    Duration reportAge = std::chrono::milliseconds(400);
     /** How long a worker gets no new work after it refused a start. */
     Duration refusalAvoidTime = std::chrono::seconds(2);
 };
@@ -75,6 +77,8 @@
     std::size_t startsSent = 0;
     std::size_t preempted = 0;
     std::size_t moved = 0;
+    /** Runs stopped because their worker was about to leave. */
+    std::size_t evacuated = 0;
     std::map<EndKind, std::size_t> ended;
 };
 
@@ -272,6 +276,13 @@
     std::vector<std::size_t> placeOnClaim(const Claim &claim, PlacementBoard &board);
     void dropExpiredClaims(MonotonicTime now);
 
+    // JobEngineDrain.cpp
+    /** Expected time until a run ends, from its measured progress or, without that, from the estimate of its step. */
+    Duration timeToEnd(const Worker &worker, const Run &run, MonotonicTime now) const;
+    /** Stops runs on draining workers that would not end before their worker leaves. */
+    void evacuateDrainingWorkers(MonotonicTime now);
+    void evacuateRun(const Worker &worker, const RunKey &key, MonotonicTime now);
+
     // JobEngineMonitor.cpp
     struct MonitoredRun {
         Worker *worker = nullptr;
@@ -314,6 +325,7 @@
     MonotonicTime m_termConfirmedAt;
     MonotonicTime m_nextPlanAt;
     MonotonicTime m_nextMonitorAt;
+    MonotonicTime m_nextDrainCheckAt;
     MonotonicTime m_nextForgetAt;
     bool m_planWanted = true;
     EngineCounts m_counts;
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -63,6 +63,8 @@
     WorkerReport report;
     /** Whether discovery lists the worker. */
     bool listed = false;
+    /** Earliest time at which a draining worker leaves, by its reports; NeverDue if it is not known. */
+    MonotonicTime leavesAt = NeverDue;
     std::map<RunKey, Run> runs;
     decision::Resources used;
     std::optional<ClockSample> clock;
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -305,6 +305,7 @@
     expireLeases(now);
     forgetEndedJobs(now);
     monitorRuns(now);
+    evacuateDrainingWorkers(now);
     if (m_planWanted || now >= m_nextPlanAt) {
         plan(now);
     }
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -1,6 +1,8 @@
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
 
+#include <algorithm>
+
 namespace coriander::workflow {
 
 namespace {
@@ -206,6 +208,12 @@
                   {"runs", worker.runs.size()}});
     }
     worker.report = report;
+    if (!report.draining) {
+        worker.leavesAt = NeverDue;
+    } else if (report.minimumTimeToLeave) {
+        worker.leavesAt = std::min(worker.leavesAt, now + *report.minimumTimeToLeave - m_times.reportAge);
+        m_nextDrainCheckAt = now;
+    }
     if (!worker.listed) {
         worker.nextHoldAt = std::min(worker.nextHoldAt, now);
     }
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -69,6 +69,7 @@
         const EngineCounts &counts = readings.engine->counts();
         m_runs.Add({{"event", "started"}}).Set(static_cast<double>(counts.startsSent));
         m_runs.Add({{"event", "preempted"}}).Set(static_cast<double>(counts.preempted));
+        m_runs.Add({{"event", "evacuated"}}).Set(static_cast<double>(counts.evacuated));
         m_runs.Add({{"event", "moved"}}).Set(static_cast<double>(counts.moved));
         for (const auto &[kind, count] : counts.ended) {
             m_runs.Add({{"event", endKindName(kind)}}).Set(static_cast<double>(count));
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -151,6 +151,20 @@
         m_timeline.after(milliseconds(200), [this, id] { m_machines.at(id).isStarting = false; });
     }
 
+    /** Ends all runs of the worker, which does not answer any more. */
+    void leave(const WorkerId &id)
+    {
+        Machine &machine = m_machines.at(id);
+        machine.hasLeft = true;
+        while (!machine.runs.empty()) {
+            const RunKey key = machine.runs.begin()->first;
+            end(machine, key, EndKind::LeaseLapsed);
+            if (m_behaviour.at({key.first.job, key.first.step}).gang) {
+                breakGang(key, EndKind::GangBroken);
+            }
+        }
+    }
+
     std::map<WorkerId, Machine> &machines()
     {
         return m_machines;
