Workflow: during a wave of failing workers, retries go to workers that proved themselves

Change: decision::FailureWave recognises early failures on several workers within 2 s. A worker has proved itself when a run that was started since the wave began was completed or goes on for 0.8 s. During a wave, work goes to such workers first, and a task whose next failure fails its job waits for one, at most 8 s. After a single early failure a retry only prefers them.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Decision/FailureWave.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/AdviceCache.h"
 #include "corianderscale/Workflow/Catalogue.h"
@@ -229,6 +230,8 @@
     bool isHoldDue(const Worker &worker, MonotonicTime now) const;
     /** @p acknowledged is the highest number of an end that the hold told the worker to forget. */
     void holdAnswered(const Addressee &to, std::int64_t acknowledged, const HoldAnswer &answer);
+    /** Records what the end of a run shows about its worker. */
+    void recordHealth(Worker &worker, const EndedTask &end);
     void processEnds(Worker &worker, const std::vector<EndedTask> &ends);
     /** Makes sure that the next run of a waiting task gets a higher number than @p run. */
     void raiseRunNumber(const TaskKey &key, std::int64_t run);
@@ -255,6 +258,23 @@
     /** Reserves workers where a gang will soon fit, so that later candidates of this pass do not use them. */
     static void reserveForGang(const PlacementNeed &need, PlacementBoard &board);
     void place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
+    /** Places tasks as @p need says: all together if the step is a gang. */
+    static std::vector<std::size_t> findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board);
+    /** Marks the workers that proved themselves since a wave of failures began or may have begun. */
+    void markProvenWorkers(PlacementBoard &board, MonotonicTime now);
+    /** Whether the task waits for a proven worker, because one more failure would fail its job. */
+    bool waitsForProof(const Job &job, const Task &task, MonotonicTime now) const;
+    /** Places waiting tasks on proven workers, and removes from @p tasks those that were placed and those that have to
+     * wait for a proven worker. */
+    void placeOnProvenWorkers(const Candidate &candidate,
+                              std::vector<std::size_t> &tasks,
+                              PlacementBoard &board,
+                              MonotonicTime now);
+    void assignTo(const Candidate &candidate,
+                  const std::vector<std::size_t> &tasks,
+                  const std::vector<std::size_t> &entries,
+                  const PlacementBoard &board,
+                  MonotonicTime now);
     void assign(const Candidate &candidate,
                 const std::vector<std::size_t> &tasks,
                 const std::vector<WorkerId> &workers,
@@ -314,6 +334,10 @@
     WorkerTable m_workers;
     std::map<ClaimKey, Claim> m_claims;
     UrgentReserve m_urgentReserve;
+    decision::FailureWave m_failureWave;
+    /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
+    bool m_waveInPass = false;
+    bool m_provenMarked = false;
     DataCentreWatch m_dataCentreWatch;
     /** Jobs with rows to store, in order of the job id. */
     std::set<JobId> m_dirtyJobs;
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Workflow/Records.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -16,6 +17,8 @@
     int checkpointPercent = 0;
     /** How often the task was moved off a slow worker. */
     int moves = 0;
+    /** When its last run failed in this term. */
+    std::optional<MonotonicTime> lastFailureAt;
 };
 
 struct Occurrence {
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -25,6 +25,9 @@
     bool excludeFailing = false;
     /** Whether workers without a completed run, and workers whose last run failed, are excluded. */
     bool requireCompletedRun = false;
+    /** Whether only workers are used that have proved since the beginning of a wave of failures that they run what they
+     * start. */
+    bool requireProven = false;
     /** Maximum number of tasks of the step on one worker; 0 for no limit. */
     std::size_t maximumPerWorker = 0;
     /** Number of tasks of the step that each worker has already; used only with a limit. */
@@ -46,6 +49,8 @@
     bool open = false;
     /** Whether only urgent work may use the worker. */
     bool reserved = false;
+    /** Whether the worker proved itself since the beginning of the present wave of failures. */
+    bool proven = false;
     /** Whether the worker is reserved in this pass for a waiting gang. */
     bool reservedForGang = false;
 };
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -96,6 +96,8 @@
     std::int64_t lastAcknowledgedEnd = 0;
     /** Number of runs that were completed in this term. */
     std::size_t runsDone = 0;
+    /** When the start of its latest completed run was answered. */
+    std::optional<MonotonicTime> lastCompletedStartAt;
     /** Number of failed runs since the last completed one. */
     int failuresInRow = 0;
     /** Until when the worker gets no new work because its runs fail, are slow or stall, or it refused a start. */
@@ -137,6 +139,10 @@
 decision::Resources minus(const decision::Resources &left, const decision::Resources &right);
 bool fitsInto(const decision::Resources &need, const decision::Resources &room);
 
+/** Whether a run that was started after @p since shows that the worker does not fail what it starts: it was completed,
+ * or goes on. A worker reports the end of a run at once, so a run is known to go on while the worker answers. */
+bool isProvenSince(const Worker &worker, MonotonicTime since, MonotonicTime now);
+
 /** Lowest possible reading of the worker's clock at @p now, given that the clock may run slow. */
 WorkerClockMs earliestClock(const ClockSample &sample, MonotonicTime now);
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -54,6 +54,7 @@
     }
     PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now));
     m_urgentReserve.apply(urgentDemand(), board, now);
+    markProvenWorkers(board, now);
     dropExpiredClaims(now);
     for (const auto &[key, claim] : m_claims) {
         applyClaim(claim, board, true);
@@ -197,42 +198,110 @@
     return std::any_of(tasks.begin(), tasks.end(), [&all](std::size_t index) { return all[index].failures > 0; });
 }
 
+std::vector<std::size_t> JobEngine::findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board)
+{
+    return gang ? placeTogether(board, need) : placeEach(board, need);
+}
+
+void JobEngine::assignTo(const Candidate &candidate,
+                         const std::vector<std::size_t> &tasks,
+                         const std::vector<std::size_t> &entries,
+                         const PlacementBoard &board,
+                         MonotonicTime now)
+{
+    if (entries.empty()) {
+        return;
+    }
+    std::vector<WorkerId> workers;
+    for (const std::size_t entry : entries) {
+        workers.push_back(board.entries()[entry].worker->report.id);
+    }
+    assign(candidate, tasks, workers, now);
+}
+
+void JobEngine::markProvenWorkers(PlacementBoard &board, MonotonicTime now)
+{
+    const std::size_t workers = board.entries().size();
+    const std::optional<MonotonicTime> since = m_failureWave.proofSince(now, workers);
+    const bool wave = m_failureWave.since(now, workers).has_value();
+    m_provenMarked = since.has_value();
+    if (since) {
+        for (BoardEntry &entry : board.entries()) {
+            entry.proven = isProvenSince(*entry.worker, *since, now);
+        }
+    }
+    if (wave && !m_waveInPass) {
+        const auto proven = std::count_if(
+            board.entries().begin(), board.entries().end(), [](const BoardEntry &entry) { return entry.proven; });
+        logEvent(LogLevel::Warning,
+                 "failure-wave",
+                 {{"since_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count()},
+                  {"workers", workers},
+                  {"proven", proven}});
+    }
+    m_waveInPass = wave;
+}
+
+bool JobEngine::waitsForProof(const Job &job, const Task &task, MonotonicTime now) const
+{
+    return m_waveInPass && task.lastFailureAt && task.failures + 1 >= maximumAttempts(job)
+        && decision::shouldWaitForProof(now - *task.lastFailureAt);
+}
+
+void JobEngine::placeOnProvenWorkers(const Candidate &candidate,
+                                     std::vector<std::size_t> &tasks,
+                                     PlacementBoard &board,
+                                     MonotonicTime now)
+{
+    const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
+    const auto waits = [this, &all, &candidate, now](std::size_t index) {
+        return waitsForProof(*candidate.job, all[index], now);
+    };
+    std::stable_partition(tasks.begin(), tasks.end(), waits);
+    PlacementNeed need = needOf(candidate, tasks);
+    need.requireProven = true;
+    need.excludeFailing = true;
+    const std::vector<std::size_t> entries
+        = findRoom(need, candidate.job->spec.steps[candidate.step].gang, board);
+    assignTo(candidate, tasks, entries, board, now);
+    tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(entries.size()));
+    std::erase_if(tasks, waits);
+}
+
 void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
-    const std::vector<std::size_t> tasks = waitingTasks(candidate);
+    std::vector<std::size_t> tasks = waitingTasks(candidate);
     const ClaimKey claimKey{candidate.job->spec.id, candidate.occurrence, candidate.step};
     const auto claim = m_claims.find(claimKey);
     if (claim != m_claims.end()) {
         applyClaim(claim->second, board, false);
     }
+    const bool gang = candidate.job->spec.steps[candidate.step].gang;
+    std::vector<std::size_t> entries;
+    if (claim != m_claims.end() && gang && !tasks.empty()) {
+        entries = placeOnClaim(claim->second, board);
+    }
+    const bool preferProven = m_waveInPass || (m_provenMarked && hasFailed(candidate, tasks));
+    if (preferProven && entries.empty() && !tasks.empty()) {
+        placeOnProvenWorkers(candidate, tasks, board, now);
+    }
     if (tasks.empty()) {
         m_claims.erase(claimKey);
         return;
     }
     PlacementNeed need = needOf(candidate, tasks);
-    const bool gang = candidate.job->spec.steps[candidate.step].gang;
-    std::vector<std::size_t> entries;
-    if (claim != m_claims.end() && gang) {
-        entries = placeOnClaim(claim->second, board);
-    }
     // A retry prefers workers that have completed a run, because another failure may fail the job.
     need.requireCompletedRun = hasFailed(candidate, tasks);
     need.excludeFailing = gang && candidate.queue->priority == 0;
     if (entries.empty() && (need.requireCompletedRun || need.excludeFailing)) {
-        entries = gang ? placeTogether(board, need) : placeEach(board, need);
+        entries = findRoom(need, gang, board);
     }
     need.requireCompletedRun = false;
     need.excludeFailing = false;
     if (entries.empty()) {
-        entries = gang ? placeTogether(board, need) : placeEach(board, need);
-    }
-    if (!entries.empty()) {
-        std::vector<WorkerId> workers;
-        for (const std::size_t entry : entries) {
-            workers.push_back(board.entries()[entry].worker->report.id);
-        }
-        assign(candidate, tasks, workers, now);
+        entries = findRoom(need, gang, board);
     }
+    assignTo(candidate, tasks, entries, board, now);
     if (need.approved && entries.size() < tasks.size()) {
         m_advice.ask(stepKey(candidate), board, need);
     }
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -90,6 +90,11 @@
     std::vector<Task> &members = job.occurrences[key.occurrence].steps[key.step];
     Task &task = job.task(key);
     task.failedOn.insert(worker);
+    for (Task &member : members) {
+        if (step.gang || &member == &task) {
+            member.lastFailureAt = m_clock.now();
+        }
+    }
     if (task.lastFailedRun == task.run) {
         return;
     }
@@ -250,6 +255,7 @@
                   {"worker", worker.report.id},
                   {"kind", endKindName(end.kind)},
                   {"end", end.number}});
+        recordHealth(worker, end);
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
             ++worker.runsDone;
@@ -264,6 +270,21 @@
     }
 }
 
+void JobEngine::recordHealth(Worker &worker, const EndedTask &end)
+{
+    const auto run = worker.runs.find({end.task, end.run});
+    if (run == worker.runs.end() || run->second.start != StartState::Accepted || run->second.earlierTerm) {
+        return;
+    }
+    const MonotonicTime startedAt = run->second.startCallEndedAt;
+    if (end.kind == EndKind::Done) {
+        worker.lastCompletedStartAt = std::max(worker.lastCompletedStartAt.value_or(startedAt), startedAt);
+    } else if (end.kind == EndKind::Failed) {
+        const MonotonicTime now = m_clock.now();
+        m_failureWave.recordFailure(worker.report.id.value(), now, now - startedAt);
+    }
+}
+
 void JobEngine::raiseRunNumber(const TaskKey &key, std::int64_t run)
 {
     Job *job = findJob(key.job);
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -202,7 +202,8 @@
         const bool failing = (need.excludeFailing || need.requireCompletedRun) && worker.failuresInRow > 0;
         const bool lacksCompletedRun = need.requireCompletedRun && worker.runsDone == 0;
         const bool approved = !need.approved || need.approved->count(report.id) > 0;
-        if (report.service != need.service || failing || lacksCompletedRun || !approved) {
+        const bool unproven = need.requireProven && !m_entries[i].proven;
+        if (report.service != need.service || failing || lacksCompletedRun || unproven || !approved) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
--- a/lib/Workflow/WorkerTable.cpp
+++ b/lib/Workflow/WorkerTable.cpp
@@ -1,5 +1,8 @@
 #include "corianderscale/Workflow/WorkerTable.h"
 
+#include "corianderscale/Decision/FailureWave.h"
+
+#include <algorithm>
 #include <cassert>
 
 namespace coriander::workflow {
@@ -59,6 +62,19 @@
     return minus(worker.report.capacity, worker.used);
 }
 
+bool isProvenSince(const Worker &worker, MonotonicTime since, MonotonicTime now)
+{
+    if (worker.lastCompletedStartAt && *worker.lastCompletedStartAt >= since) {
+        return true;
+    }
+    return worker.silentCalls == 0
+        && std::any_of(worker.runs.begin(), worker.runs.end(), [since, now](const auto &each) {
+               const Run &run = each.second;
+               return run.start == StartState::Accepted && !run.earlierTerm && !run.stopWanted
+                   && run.startCallEndedAt >= since && decision::provesWorker(now - run.startCallEndedAt);
+           });
+}
+
 WorkerClockMs earliestClock(const ClockSample &sample, MonotonicTime now)
 {
     const double elapsedMs = std::chrono::duration<double, std::milli>(now - sample.receivedAt).count();
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -26,7 +26,8 @@
 class EngineHarness
 {
 public:
-    explicit EngineHarness(std::uint32_t seed = 1)
+    /** @p maximumAttempts is that of all queues; at most FakeWorkers::MaximumAttempts. */
+    explicit EngineHarness(std::uint32_t seed = 1, int maximumAttempts = FakeWorkers::MaximumAttempts)
         : workers(timeline, seed)
         , store(timeline, seed)
     {
@@ -37,7 +38,7 @@
             queue.name = QueueName("q" + std::to_string(priority));
             queue.service = ServiceName("pool");
             queue.priority = priority;
-            queue.maximumAttempts = FakeWorkers::MaximumAttempts;
+            queue.maximumAttempts = maximumAttempts;
             queue.stretch = 3;
             made->queues.push_back(queue);
         }
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -105,6 +105,8 @@
         bool isCutOff = false;
         /** Whether the lists of the worker show no progress. */
         bool isStalled = false;
+        /** Whether every run that starts here fails soon. */
+        bool failsRuns = false;
         /** Whether the worker has left permanently. */
         bool hasLeft = false;
         /** Whether the process has not finished starting. */
@@ -365,8 +367,10 @@
         if (onStart) {
             onStart(key.first, key.second);
         }
-        const bool fails = static_cast<int>(m_failed[key.first].size()) < behaviour.failures;
-        const Duration work = fails ? behaviour.work / 2 : behaviour.work;
+        const bool fails
+            = machine.failsRuns || static_cast<int>(m_failed[key.first].size()) < behaviour.failures;
+        const Duration failsAfter = machine.failsRuns ? Duration(milliseconds(150)) : behaviour.work / 2;
+        const Duration work = fails ? failsAfter : behaviour.work;
         m_timeline.after(work, [this, id = machine.report.id, key, serial, fails] { finish(id, key, serial, fails); });
     }
 
