unittests/Workflow: random histories in which workers leave after a notice and fail what they start

Guards the evacuation of draining workers and the wave of failures against duplicate runs, exceeded capacity and attempts. The histories of the earlier seeds are unchanged.

--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -213,9 +213,11 @@
 class RandomHistory
 {
 public:
-    explicit RandomHistory(std::uint32_t seed)
+    /** With @p workersLeave, workers also leave after a notice and fail what they start. */
+    RandomHistory(std::uint32_t seed, bool workersLeave)
         : m_harness(seed)
         , m_random(seed)
+        , m_workersLeave(workersLeave)
     {
         m_harness.addWorkers(8);
         m_harness.startOwner();
@@ -265,6 +267,29 @@
         }
         m_harness.workers.machines().at(randomWorker()).isStalled = draw(4) == 0;
         m_harness.store.isUnreachable = draw(20) == 0;
+        if (m_workersLeave) {
+            m_harness.workers.machines().at(randomWorker()).failsRuns = draw(5) == 0;
+            if (draw(12) == 0) {
+                announceLeaving(randomWorker());
+            }
+        }
+    }
+
+    /** Announces that a worker leaves; a new process takes its place at a time near the announced one. */
+    void announceLeaving(const WorkerId &id)
+    {
+        FakeWorkers::Machine &machine = m_harness.workers.machines().at(id);
+        const int noticeMs = draw(4000);
+        machine.report.draining = true;
+        machine.report.minimumTimeToLeave = milliseconds(noticeMs);
+        m_harness.report(id);
+        m_harness.timeline.after(milliseconds(noticeMs + draw(2000)), [this, id] {
+            WorkerReport &report = m_harness.workers.machines().at(id).report;
+            report.draining = false;
+            report.minimumTimeToLeave.reset();
+            m_harness.workers.restart(id);
+            m_harness.report(id);
+        });
     }
 
     void cutWorker(const WorkerId &id)
@@ -300,6 +325,7 @@
         for (auto &[id, machine] : m_harness.workers.machines()) {
             machine.isCutOff = false;
             machine.isStalled = false;
+            machine.failsRuns = false;
         }
         m_harness.runFor(seconds(150));
         for (const auto &[id, spec] : m_harness.specs) {
@@ -327,13 +353,20 @@
 
     EngineHarness m_harness;
     std::mt19937 m_random;
+    bool m_workersLeave;
 };
 
 // Guards against duplicate runs, exceeded capacity, exceeded attempts and jobs that never end, under random changes of
 // owner, restarts of workers, lost and late orders, store outages and cancels.
 TEST_P(EngineHistory, keepsItsGuaranteesUnderRandomFaults)
 {
-    RandomHistory(static_cast<std::uint32_t>(GetParam())).run();
+    RandomHistory(static_cast<std::uint32_t>(GetParam()), false).run();
+}
+
+// The same while workers leave after a notice and others fail all that they start.
+TEST_P(EngineHistory, keepsItsGuaranteesWhileWorkersLeaveAndFail)
+{
+    RandomHistory(static_cast<std::uint32_t>(GetParam()), true).run();
 }
 
 /** The first of 100 seeds; CORIANDER_FIRST_SEED selects others. */
