Workflow: follow a feed at once while its pages are full

Cause: a feed holds at most 500 rows in an answer (measured with a discovery interval of 4 s: every page has 500 rows, its version is that of the last row, and no field says that there are more). The owner paused 500 ms after each page, so it read at most 1,000 changes a second.

--- a/include/corianderscale/Workflow/RowStore.h
+++ b/include/corianderscale/Workflow/RowStore.h
@@ -62,6 +62,7 @@
 
 struct RowPage {
     std::vector<Row> rows;
+    /** Whether there are more rows in the range, or may be more changes. */
     bool hasMore = false;
     /** Newest version in the store when the page was read. */
     RowVersion version;
--- a/include/corianderscale/Workflow/TableFollower.h
+++ b/include/corianderscale/Workflow/TableFollower.h
@@ -29,7 +29,7 @@
         std::string to;
         /** How long a call waits for a change. A broken connection is not noticed before this time is over. */
         Duration wait = std::chrono::seconds(2);
-        /** Pause between two calls for changes. */
+        /** Pause between two calls for changes, unless there are more changes already. */
         Duration pause{};
         /** Timeout of one call, in addition to @c wait. */
         Duration storeCallTimeout = std::chrono::seconds(1);
--- a/lib/Workflow/TableFollower.cpp
+++ b/lib/Workflow/TableFollower.cpp
@@ -100,7 +100,7 @@
         if (!page->rows.empty()) {
             m_hooks.changed(page->rows);
         }
-        if (m_settings.pause > Duration(0)) {
+        if (m_settings.pause > Duration(0) && !page->hasMore) {
             after(m_settings.pause, [this] { follow(); });
             return;
         }
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -33,6 +33,8 @@
     bool isUnreachable = false;
     /** Time from a call to its effect, and from there to the answer. */
     Duration answerTime = milliseconds(4);
+    /** Maximum number of changes in one answer to a follower. */
+    std::size_t changesPerPage = 500;
     /** Number of calls of change() so far. */
     std::size_t changes = 0;
 
@@ -163,9 +165,15 @@
         }
         RowPage page{{}, false, m_version};
         for (const Row &row : m_history) {
-            if (row.table == follower.table && row.version > follower.after) {
-                page.rows.push_back(row);
+            if (row.table != follower.table || row.version <= follower.after) {
+                continue;
+            }
+            if (page.rows.size() == changesPerPage) {
+                page.hasMore = true;
+                page.version = page.rows.back().version;
+                break;
             }
+            page.rows.push_back(row);
         }
         if (page.rows.empty()) {
             return std::nullopt;
