--- a/include/corianderscale/Transport/AsyncHttpClient.h
+++ b/include/corianderscale/Transport/AsyncHttpClient.h
@@ -31,6 +31,9 @@
         /** TCP_USER_TIMEOUT of the connections; without it the kernel keeps a dead connection for minutes. */
         Duration unacknowledgedTimeout = std::chrono::seconds(3);
         std::size_t maximumConnectionsPerAddress = 16;
+        /** Limit on the open connections to all addresses together; 0 for none. Idle connections are closed to stay
+         * below it, the least recently used first; a request that finds no connection waits. */
+        std::size_t maximumConnections = 0;
         /** Limit on the requests that wait for a connection; further requests fail with LimitExceeded. */
         std::size_t maximumQueuedPerAddress = 1024;
     };
@@ -49,6 +52,9 @@
     /** Closes the idle connections to @p address. */
     void closeIdle(const std::string &address);
 
+    /** Number of open connections. */
+    std::size_t connections() const;
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -34,6 +34,8 @@
     std::string advisor;
     /** Number of cores that the process may use. */
     double processorShare = 0.5;
+    /** Number of descriptors that the process may open. */
+    std::size_t descriptors = 4096;
     /** Upper limit that workers apply to every lease. */
     Duration longestLease = std::chrono::seconds(10);
     /** How long the state of an ended job can be read. */
@@ -44,10 +46,14 @@
 
 /**
  * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`, `advisor`,
- * `processor_share`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
+ * `processor_share`, `descriptors`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
+/** Number of connections to workers and the store that the process may open; the other descriptors are left to callers
+ * and files. */
+std::size_t maximumOutgoingConnections(const NodeSettings &settings);
+
 /** Row of the store that holds the configuration, and its decoder. */
 struct ConfigurationSource {
     std::string table;
--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <deque>
+#include <list>
 #include <map>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -55,11 +56,20 @@
     void send(const std::string &address, Call call);
     void startQueued(const std::string &address);
     void closeIdle(const std::string &address);
+    /** Makes room for one more connection; returns false if all connections are in use. */
+    bool makeRoom();
+    /** Starts requests that wait because all connections were in use. */
+    void startWaiting();
     void fail(AsyncHttpCompletion done, TransportError error);
 
     asio::io_context &m_loop;
     Settings m_settings;
     std::map<std::string, Pool> m_pools;
+    std::size_t m_openConnections = 0;
+    /** Idle connections of all pools, the least recently used first. */
+    std::list<std::weak_ptr<Connection>> m_idle;
+    /** Addresses with requests that found no connection, in the order of their waiting. */
+    std::deque<std::string> m_waiting;
 };
 
 /** One connection to an address; carries one request at a time. */
@@ -73,12 +83,13 @@
         , m_timer(m_client->m_loop)
     {
         ++pool().openConnections;
+        ++m_client->m_openConnections;
     }
 
     void start(Call call)
     {
         m_call = std::move(call);
-        m_idle = false;
+        endIdle();
         m_failureCode = TransportCode::Unreachable;
         if (m_connected) {
             m_reused = true;
@@ -95,6 +106,7 @@
     void watchIdle()
     {
         m_idle = true;
+        m_idlePosition = m_client->m_idle.insert(m_client->m_idle.end(), weak_from_this());
         m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code code) {
             if (code == asio::error::operation_aborted || !self->m_idle) {
                 return;
@@ -109,15 +121,25 @@
             return;
         }
         m_closed = true;
+        endIdle();
         m_timer.cancel();
         boost::system::error_code ignored;
         m_socket.close(ignored);
         Pool &own = pool();
         --own.openConnections;
+        --m_client->m_openConnections;
         std::erase(own.idle, shared_from_this());
     }
 
 private:
+    void endIdle()
+    {
+        if (m_idle) {
+            m_client->m_idle.erase(m_idlePosition);
+            m_idle = false;
+        }
+    }
+
     Pool &pool()
     {
         return m_client->m_pools[m_address];
@@ -214,6 +236,7 @@
             close();
         }
         m_client->startQueued(m_address);
+        m_client->startWaiting();
         done(std::move(response), {});
     }
 
@@ -236,6 +259,7 @@
         }
         m_client->closeIdle(m_address);
         m_client->startQueued(m_address);
+        m_client->startWaiting();
         call.done(std::nullopt, error);
     }
 
@@ -252,6 +276,8 @@
     bool m_connected = false;
     bool m_reused = false;
     bool m_idle = false;
+    /** Position in the client's list of idle connections; valid while the connection is idle. */
+    std::list<std::weak_ptr<Connection>>::iterator m_idlePosition;
     bool m_timedOut = false;
     bool m_closed = false;
 };
@@ -293,6 +319,10 @@
             connection = pool.idle.back();
             pool.idle.pop_back();
         } else if (pool.openConnections < m_settings.maximumConnectionsPerAddress) {
+            if (!makeRoom()) {
+                m_waiting.push_back(address);
+                return;
+            }
             connection = std::make_shared<Connection>(shared_from_this(), address);
         } else {
             return;
@@ -303,6 +333,32 @@
     }
 }
 
+bool AsyncHttpClient::Implementation::makeRoom()
+{
+    if (m_settings.maximumConnections == 0 || m_openConnections < m_settings.maximumConnections) {
+        return true;
+    }
+    if (m_idle.empty()) {
+        return false;
+    }
+    if (const std::shared_ptr<Connection> oldest = m_idle.front().lock()) {
+        oldest->close();
+    }
+    return m_openConnections < m_settings.maximumConnections;
+}
+
+void AsyncHttpClient::Implementation::startWaiting()
+{
+    if (m_waiting.empty()) {
+        return;
+    }
+    const std::string address = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    if (m_pools.count(address) > 0) {
+        startQueued(address);
+    }
+}
+
 void AsyncHttpClient::Implementation::closeIdle(const std::string &address)
 {
     const auto found = m_pools.find(address);
@@ -335,4 +391,9 @@
     m_implementation->closeIdle(address);
 }
 
+std::size_t AsyncHttpClient::connections() const
+{
+    return m_implementation->m_openConnections;
+}
+
 } // namespace coriander
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -13,6 +13,11 @@
 
 constexpr double MaximumSeconds = 3600;
 constexpr double MaximumCores = 1024;
+/** Enough for the listeners, the store and some callers and workers. */
+constexpr std::int64_t MinimumDescriptors = 256;
+constexpr std::int64_t MaximumDescriptors = 1048576;
+/** Share of the descriptors for connections to workers and the store. */
+constexpr double OutgoingShare = 0.7;
 
 /** Reads a number above 0 and at most @p maximum, which may have a fraction; @p fallback if the key is missing. */
 double readPositiveNumber(YamlMap &settings, const std::string &key, double fallback, double maximum)
@@ -53,6 +58,8 @@
     const double graceSeconds = readPositiveNumber(settings, "grace_s", 6, MaximumSeconds);
     result.grace = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(graceSeconds));
     result.processorShare = readPositiveNumber(settings, "processor_share", result.processorShare, MaximumCores);
+    result.descriptors = static_cast<std::size_t>(settings.integer(
+        "descriptors", static_cast<std::int64_t>(result.descriptors), MinimumDescriptors, MaximumDescriptors));
     const std::string level = settings.choice("log_level", "info", {"debug", "info", "warning", "error"});
     setLogLevel(level == "debug"         ? LogLevel::Debug
                     : level == "info"    ? LogLevel::Info
@@ -61,4 +68,9 @@
     return result;
 }
 
+std::size_t maximumOutgoingConnections(const NodeSettings &settings)
+{
+    return static_cast<std::size_t>(OutgoingShare * static_cast<double>(settings.descriptors));
+}
+
 } // namespace coriander::workflow
--- a/unittests/Transport/AsyncHttpTest.cpp
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -192,5 +192,37 @@
     EXPECT_TRUE(result.response) << result.error.reason;
 }
 
+// Guards against an owner of thousands of workers that uses up all descriptors, so that it accepts no callers.
+TEST_F(AsyncHttp, connectionsToAllAddressesStayBelowTheLimit)
+{
+    constexpr std::size_t Limit = 3;
+    AsyncHttpClient client(m_loop, {.connectTimeout = milliseconds(500), .maximumConnections = Limit});
+    std::vector<std::unique_ptr<AsyncHttpServer>> servers;
+    for (int i = 0; i < 8; ++i) {
+        servers.push_back(std::make_unique<AsyncHttpServer>(
+            m_loop, AsyncHttpLimits{}, [](const HttpRequest &, const AsyncHttpRespond &respond) { respond({}); }));
+        TransportError error;
+        ASSERT_TRUE(servers.back()->listen("127.0.0.1:0", error)) << error.reason;
+    }
+    std::size_t answered = 0;
+    std::size_t failed = 0;
+    for (int round = 0; round < 3; ++round) {
+        for (const auto &server : servers) {
+            client.send("127.0.0.1:" + std::to_string(server->port()),
+                        {},
+                        seconds(5),
+                        [&answered, &failed](const auto &response, const TransportError &) {
+                            ++(response ? answered : failed);
+                        });
+            EXPECT_LE(client.connections(), Limit);
+        }
+    }
+    runUntil([&] {
+        EXPECT_LE(client.connections(), Limit);
+        return answered + failed == 24;
+    });
+    EXPECT_EQ(failed, 0U);
+}
+
 } // namespace
 } // namespace coriander
