Workflow: the owner starts nothing while its reports of the workers are old

Cause: whatever delays the reading of discovery (the feed that fell behind at 3,000 workers, a slow store), the owner went on placing work by old reports, and a worker that announced its leaving could get work for longer than allowed. A start was also sent when its worker began to drain while the assignment was being stored, which takes seconds in a slow store.

Change: TableFollower tells when it has caught up; the engine neither places nor sends a start when that is more than 1.5 s ago (placing-paused, placing-resumed), and sends none to a worker that drains. countWaiting reads all pages of the store; it counted at most 500 jobs.

Tests: Drain.nothingStartsWhileTheReportsAreOld and assignedTaskIsNotStartedOnADrainingWorker fail without the change; Intake.waitingJobsBeyondOnePageAreCounted.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -67,6 +67,9 @@
     /** How long an ended job is remembered, so that a delayed change feed of the jobs table does not add it again;
      * longer than the platform keeps the changes of its feeds. */
     Duration endedJobRetention = std::chrono::seconds(60);
+    /** Nothing is started while the reports of the workers are older. Shorter than the time after which a worker that
+     * drains must get no new work, 2 s. */
+    Duration maximumDiscoveryAge = std::chrono::milliseconds(1500);
     /** Typical age of a worker's report when it is read. */
     Duration reportAge = std::chrono::milliseconds(400);
     /** How long a worker gets no new work after it refused a start. */
@@ -142,6 +145,9 @@
     /** Called when discovery no longer lists the worker. The worker gets no new work; its runs are kept until their
      * leases end. */
     void handleWorkerUnlisted(const WorkerId &id);
+    /** Called when all reports that discovery had are handled. The engine starts nothing while this was longer ago than
+     * EngineTimes::maximumDiscoveryAge, because a worker may have announced since that it leaves. */
+    void discoveryRead();
     ///@}
 
     /** Plans and sends the orders that are due. Call after events and several times a second. */
@@ -246,6 +252,8 @@
     void expireLeases(MonotonicTime now);
 
     // JobEnginePlan.cpp
+    /** Whether the reports of the workers are too old to start work; logs when this changes. */
+    bool isDiscoveryOutdated(MonotonicTime now);
     void plan(MonotonicTime now);
     std::vector<Candidate> candidates(MonotonicTime now);
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
@@ -350,6 +358,8 @@
     MonotonicTime m_nextPlanAt;
     MonotonicTime m_nextMonitorAt;
     MonotonicTime m_nextDrainCheckAt;
+    MonotonicTime m_discoveryReadAt;
+    bool m_discoveryOutdated = false;
     MonotonicTime m_nextForgetAt;
     bool m_planWanted = true;
     EngineCounts m_counts;
--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -100,6 +100,12 @@
 private:
     struct Write;
 
+    /** Counts the waiting jobs of a queue from the key @p from on; adds them to @p counted. */
+    void countWaitingFrom(const std::string &from,
+                          const QueueName &queue,
+                          std::size_t counted,
+                          MonotonicTime deadline,
+                          CallDone done);
     void send(const std::shared_ptr<Write> &write);
     void scheduleRetry(const std::shared_ptr<Write> &write);
     void finish(const std::shared_ptr<Write> &write, const ChangeResult &result);
--- a/include/corianderscale/Workflow/TableFollower.h
+++ b/include/corianderscale/Workflow/TableFollower.h
@@ -44,6 +44,8 @@
         std::function<void(const std::vector<Row> &)> changed;
         /** Called when calls begin to fail or to succeed again. May be empty. */
         std::function<void(bool reachable, const std::string &reason)> reachable;
+        /** Called when everything that had changed by the last call was reported. May be empty. */
+        std::function<void()> caughtUp;
     };
 
     TableFollower(boost::asio::io_context &loop, RowStore &store, Settings settings, Hooks hooks);
--- a/lib/Decision/FailureWave.cpp
+++ b/lib/Decision/FailureWave.cpp
@@ -13,7 +13,7 @@
 constexpr Duration WaveWindow = std::chrono::seconds(2);
 /** Share of the fleet's workers that must fail within the window, and their lowest number. */
 constexpr double WaveShare = 0.01;
-constexpr std::size_t MinimumFailingWorkers = 2;
+constexpr std::size_t MinimumFailingWorkers = 3;
 /** Most workers of a wave fail a run within half of this time. */
 constexpr Duration ProofTime = std::chrono::milliseconds(800);
 /** Longest wait for a proven worker with room; waves last 5 to 7 s. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -17,6 +17,7 @@
     , m_startedAt(m_clock.now())
     , m_termConfirmedAt(m_startedAt)
     , m_nextPlanAt(m_startedAt)
+    , m_discoveryReadAt(m_startedAt)
 {
 }
 
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -107,7 +107,9 @@
 {
     Job *job = findJob(run.task.job);
     const RunKey key{run.task, run.number};
-    if (job == nullptr || run.stopWanted || !worker.listed || worker.silentCalls > 0) {
+    const bool unusable = !worker.listed || worker.report.draining || worker.silentCalls > 0
+        || isDiscoveryOutdated(m_clock.now());
+    if (job == nullptr || run.stopWanted || unusable) {
         runGone(worker, key, "the start was not sent");
         if (job != nullptr && job->step(key.first).gang) {
             stopGang(*job, key.first, key.second);
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace coriander::workflow {
 
@@ -45,7 +46,7 @@
 {
     m_planWanted = false;
     m_nextPlanAt = now + m_times.planInterval;
-    if (!m_catalogue) {
+    if (!m_catalogue || isDiscoveryOutdated(now)) {
         return;
     }
     const std::vector<Candidate> waiting = candidates(now);
@@ -64,6 +65,19 @@
     }
 }
 
+bool JobEngine::isDiscoveryOutdated(MonotonicTime now)
+{
+    const Duration age = now - m_discoveryReadAt;
+    const bool outdated = age > m_times.maximumDiscoveryAge;
+    if (std::exchange(m_discoveryOutdated, outdated) != outdated) {
+        logEvent(outdated ? LogLevel::Warning : LogLevel::Info,
+                 outdated ? "placing-paused" : "placing-resumed",
+                 {{"discovery_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                  {"epoch", m_epoch}});
+    }
+    return outdated;
+}
+
 std::vector<JobEngine::Candidate> JobEngine::candidates(MonotonicTime now)
 {
     std::vector<std::pair<std::tuple<double, MonotonicTime, JobId>, Candidate>> ordered;
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -226,6 +226,11 @@
     m_planWanted = true;
 }
 
+void JobEngine::discoveryRead()
+{
+    m_discoveryReadAt = m_clock.now();
+}
+
 void JobEngine::handleWorkerUnlisted(const WorkerId &id)
 {
     Worker *worker = m_workers.find(id);
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -299,19 +299,31 @@
 }
 
 void JobIntake::countWaiting(const QueueName &queue, MonotonicTime deadline, CallDone done)
+{
+    countWaitingFrom(waitingPrefix(queue), queue, 0, deadline, std::move(done));
+}
+
+void JobIntake::countWaitingFrom(
+    const std::string &from, const QueueName &queue, std::size_t counted, MonotonicTime deadline, CallDone done)
 {
     // '0' follows '/' in byte order, so this is the upper bound of the keys of the queue.
     const std::string end = queue.value() + "0";
     m_store.read(WaitingTable,
-                 waitingPrefix(queue),
+                 from,
                  end,
                  timeoutUntil(deadline),
-                 [this, done = std::move(done)](const std::optional<RowPage> &page, const StateError &error) {
+                 [this, queue, counted, deadline, done = std::move(done)](const std::optional<RowPage> &page,
+                                                                          const StateError &error) {
                      if (!page) {
                          done({CallOutcome::Refused, error.reason, m_times.retryAfter, {}, {}});
                          return;
                      }
-                     done({CallOutcome::Done, {}, {}, {}, page->rows.size()});
+                     const std::size_t all = counted + page->rows.size();
+                     if (page->hasMore && !page->rows.empty()) {
+                         countWaitingFrom(keyAfter(page->rows.back().key), queue, all, deadline, done);
+                         return;
+                     }
+                     done({CallOutcome::Done, {}, {}, {}, all});
                  });
 }
 
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -204,7 +204,12 @@
         workers,
         TableFollower::Hooks{[this](const std::vector<Row> &all) { handleAllWorkerRows(all); },
                              [this](const std::vector<Row> &changed) { handleChangedWorkerRows(changed); },
-                             {}});
+                             {},
+                             [this] {
+                                 if (m_engine) {
+                                     m_engine->discoveryRead();
+                                 }
+                             }});
     m_workersFollower->start();
 }
 
--- a/lib/Workflow/TableFollower.cpp
+++ b/lib/Workflow/TableFollower.cpp
@@ -64,6 +64,7 @@
         const std::vector<Row> rows = std::move(m_rows);
         m_rows.clear();
         m_hooks.snapshot(rows);
+        reportCaughtUp();
         follow();
     }
 
@@ -100,6 +101,9 @@
         if (!page->rows.empty()) {
             m_hooks.changed(page->rows);
         }
+        if (!page->hasMore) {
+            reportCaughtUp();
+        }
         if (m_settings.pause > Duration(0) && !page->hasMore) {
             after(m_settings.pause, [this] { follow(); });
             return;
@@ -107,6 +111,13 @@
         follow();
     }
 
+    void reportCaughtUp()
+    {
+        if (m_hooks.caughtUp) {
+            m_hooks.caughtUp();
+        }
+    }
+
     void setReachable(bool reachable, const std::string &reason)
     {
         if (reachable == m_reachable || !m_hooks.reachable) {
--- a/unittests/Workflow/DrainTest.cpp
+++ b/unittests/Workflow/DrainTest.cpp
@@ -79,6 +79,38 @@
     EXPECT_EQ(m_harness.workers.stopped, 0U);
 }
 
+// Guards against starts on workers that announced that they leave, while the owner cannot read the announcements.
+TEST_F(Drain, nothingStartsWhileTheReportsAreOld)
+{
+    m_harness.discoveryAnswers = false;
+    m_harness.runFor(seconds(2));
+    submitGang("gang", 6, seconds(1));
+    m_harness.runFor(seconds(5));
+    EXPECT_EQ(m_harness.workers.starts({JobId("gang"), 0, 0, 0}), 0U);
+    m_harness.discoveryAnswers = true;
+    m_harness.runFor(seconds(3));
+    EXPECT_TRUE(isCompleted("gang"));
+}
+
+// Guards against a start on a worker that announced that it leaves while the assignment was being stored. The write of a
+// slow store takes seconds.
+TEST_F(Drain, assignedTaskIsNotStartedOnADrainingWorker)
+{
+    submitGang("gang", 6, seconds(1));
+    m_harness.engine->step();
+    const EngineBatch batch = m_harness.engine->takeBatch(60);
+    ASSERT_EQ(batch.starts.size(), 6U);
+    WorkerReport report = m_harness.workers.machines().at(batch.starts.front().first).report;
+    report.draining = true;
+    m_harness.engine->handleWorkerReport(report);
+    m_harness.workers.onStart = [&report, this](const TaskKey &key, std::int64_t) {
+        EXPECT_NE(m_harness.engine->job(key.job)->occurrences[0].steps[0][key.index].worker, report.id);
+    };
+    m_harness.engine->batchStored(batch);
+    m_harness.runFor(seconds(4));
+    EXPECT_TRUE(isCompleted("gang"));
+}
+
 // Guards against services that are down until their worker has left.
 TEST_F(Drain, longRunningTasksMoveAtOnce)
 {
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -154,6 +154,8 @@
     std::optional<EngineBatch> batch;
     std::map<JobId, JobSpec> specs;
     std::int64_t epoch = 0;
+    /** Whether the owner can read the reports of the workers. */
+    bool discoveryAnswers = true;
 
 private:
     void tick()
@@ -163,6 +165,9 @@
             return;
         }
         engine->termConfirmed(timeline.now());
+        if (discoveryAnswers) {
+            engine->discoveryRead();
+        }
         engine->step();
         if (batch || store.isUnreachable) {
             return;
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -35,6 +35,8 @@
     Duration answerTime = milliseconds(4);
     /** Maximum number of changes in one answer to a follower. */
     std::size_t changesPerPage = 500;
+    /** Maximum number of rows in one answer to a read. */
+    std::size_t rowsPerPage = 500;
     /** Number of calls of change() so far. */
     std::size_t changes = 0;
 
@@ -118,9 +120,14 @@
             RowPage page;
             page.version = m_version;
             for (const auto &[name, row] : rows) {
-                if (name.first == table && name.second >= from && (to.empty() || name.second < to)) {
-                    page.rows.push_back(row);
+                if (name.first != table || name.second < from || (!to.empty() && name.second >= to)) {
+                    continue;
                 }
+                if (page.rows.size() == rowsPerPage) {
+                    page.hasMore = true;
+                    break;
+                }
+                page.rows.push_back(row);
             }
             done(page, {});
         });
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -164,6 +164,22 @@
     EXPECT_EQ(admitCall(&catalogue, "a", "/x/open/1", "", answer)->queue.name, QueueName("open"));
 }
 
+// Guards against a count that ends with the first page of the store, so that a long queue looks short.
+TEST_F(Intake, waitingJobsBeyondOnePageAreCounted)
+{
+    m_store.rowsPerPage = 10;
+    const QueueName queue("q");
+    for (int i = 0; i < 35; ++i) {
+        m_store.apply({{}, {{WaitingTable, waitingKey(queue, JobId(std::to_string(i))), "", {}, false}}, {}});
+    }
+    m_store.apply({{}, {{WaitingTable, waitingKey(QueueName("q2"), JobId("1")), "", {}, false}}, {}});
+    CallAnswer answer;
+    m_intake.countWaiting(
+        queue, m_timeline.now() + seconds(1), [&answer](const CallAnswer &given) { answer = given; });
+    m_timeline.runFor(seconds(2));
+    EXPECT_EQ(answer.waiting, 35U);
+}
+
 // Guards against a call that takes longer than its queue allows.
 TEST(Admission, callEndsWithTheTimeOfItsQueue)
 {
