--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -150,6 +150,9 @@
     void discoveryRead();
     ///@}
 
+    /** Places no work until @p until, because the owner is late with the work that runs already. */
+    void pausePlacing(MonotonicTime until);
+
     /** Plans and sends the orders that are due. Call after events and several times a second. */
     void step();
 
@@ -252,8 +255,9 @@
     void expireLeases(MonotonicTime now);
 
     // JobEnginePlan.cpp
-    /** Whether the reports of the workers are too old to start work; logs when this changes. */
-    bool isDiscoveryOutdated(MonotonicTime now);
+    /** Whether nothing may be placed now: the reports of the workers are too old, or the owner is late. Logs when this
+     * changes. */
+    bool isPlacingPaused(MonotonicTime now);
     void plan(MonotonicTime now);
     std::vector<Candidate> candidates(MonotonicTime now);
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
@@ -359,7 +363,8 @@
     MonotonicTime m_nextMonitorAt;
     MonotonicTime m_nextDrainCheckAt;
     MonotonicTime m_discoveryReadAt;
-    bool m_discoveryOutdated = false;
+    MonotonicTime m_placingPausedUntil;
+    bool m_placingPaused = false;
     MonotonicTime m_nextForgetAt;
     bool m_planWanted = true;
     EngineCounts m_counts;
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -29,6 +29,10 @@
     StateSweeper::Times sweeper;
     /** Time between two steps of the engine and the election. */
     Duration stepInterval = std::chrono::milliseconds(50);
+    /** An owner whose step is later than this places no work for @c lateOwnerPause. The members of a gang must all start
+     * within some seconds, and leases must be renewed in time. */
+    Duration maximumLateness = std::chrono::milliseconds(250);
+    Duration lateOwnerPause = std::chrono::milliseconds(500);
     /** Pause between two reads of the discovery table; workers report every 1.5 s. */
     Duration discoveryInterval = std::chrono::milliseconds(500);
     /** An owner releases the term when more than half of its workers do not answer for this long. */
@@ -102,6 +106,7 @@
     std::optional<StateSweeper> m_stateSweeper;
     bool m_restored = false;
     std::optional<EngineBatch> m_batch;
+    MonotonicTime m_stepDueAt = NeverDue;
     MonotonicTime m_isolatedSince = NeverDue;
     MonotonicTime m_resumeAt = NeverDue;
     bool m_retired = false;
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -108,7 +108,7 @@
     Job *job = findJob(run.task.job);
     const RunKey key{run.task, run.number};
     const bool unusable = !worker.listed || worker.report.draining || worker.silentCalls > 0
-        || isDiscoveryOutdated(m_clock.now());
+        || m_clock.now() - m_discoveryReadAt > m_times.maximumDiscoveryAge;
     if (job == nullptr || run.stopWanted || unusable) {
         runGone(worker, key, "the start was not sent");
         if (job != nullptr && job->step(key.first).gang) {
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -46,7 +46,7 @@
 {
     m_planWanted = false;
     m_nextPlanAt = now + m_times.planInterval;
-    if (!m_catalogue || isDiscoveryOutdated(now)) {
+    if (!m_catalogue || isPlacingPaused(now)) {
         return;
     }
     const std::vector<Candidate> waiting = candidates(now);
@@ -65,17 +65,24 @@
     }
 }
 
-bool JobEngine::isDiscoveryOutdated(MonotonicTime now)
+void JobEngine::pausePlacing(MonotonicTime until)
+{
+    m_placingPausedUntil = std::max(m_placingPausedUntil, until);
+}
+
+bool JobEngine::isPlacingPaused(MonotonicTime now)
 {
     const Duration age = now - m_discoveryReadAt;
-    const bool outdated = age > m_times.maximumDiscoveryAge;
-    if (std::exchange(m_discoveryOutdated, outdated) != outdated) {
-        logEvent(outdated ? LogLevel::Warning : LogLevel::Info,
-                 outdated ? "placing-paused" : "placing-resumed",
+    const bool late = now < m_placingPausedUntil;
+    const bool paused = late || age > m_times.maximumDiscoveryAge;
+    if (std::exchange(m_placingPaused, paused) != paused) {
+        logEvent(paused ? LogLevel::Warning : LogLevel::Info,
+                 paused ? "placing-paused" : "placing-resumed",
                  {{"discovery_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                  {"owner_late", late},
                   {"epoch", m_epoch}});
     }
-    return outdated;
+    return paused;
 }
 
 std::vector<JobEngine::Candidate> JobEngine::candidates(MonotonicTime now)
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -212,6 +212,9 @@
                   {"incarnation", report.incarnation},
                   {"runs", worker.runs.size()}});
     }
+    const bool offersMore = isNew || !worker.listed || report.capacity != worker.report.capacity
+        || report.labels != worker.report.labels || report.draining != worker.report.draining;
+    m_planWanted = m_planWanted || offersMore;
     worker.report = report;
     if (!report.draining) {
         worker.leavesAt = NeverDue;
@@ -223,7 +226,6 @@
         worker.nextHoldAt = std::min(worker.nextHoldAt, now);
     }
     worker.listed = true;
-    m_planWanted = true;
 }
 
 void JobEngine::discoveryRead()
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -318,6 +318,7 @@
 
 void OwnerController::armTimer(Duration pause)
 {
+    m_stepDueAt = m_clock.now() + pause;
     m_timer.expires_after(pause);
     m_timer.async_wait([this](boost::system::error_code code) {
         if (!code) {
@@ -330,6 +331,9 @@
 {
     const MonotonicTime now = m_clock.now();
     if (m_engine && m_restored) {
+        if (now > m_stepDueAt + m_times.maximumLateness) {
+            m_engine->pausePlacing(now + m_times.lateOwnerPause);
+        }
         m_engine->step();
     }
     // step() may have ended the term.
--- a/unittests/Workflow/DrainTest.cpp
+++ b/unittests/Workflow/DrainTest.cpp
@@ -92,6 +92,18 @@
     EXPECT_TRUE(isCompleted("gang"));
 }
 
+// Guards against an owner that starts more work while it is late with the work that runs, so that members of a gang
+// start too far apart.
+TEST_F(Drain, lateOwnerPlacesNothing)
+{
+    m_harness.engine->pausePlacing(m_harness.timeline.now() + seconds(2));
+    submitGang("gang", 6, seconds(1));
+    m_harness.runFor(milliseconds(1900));
+    EXPECT_EQ(m_harness.workers.starts({JobId("gang"), 0, 0, 0}), 0U);
+    m_harness.runFor(seconds(3));
+    EXPECT_TRUE(isCompleted("gang"));
+}
+
 // Guards against a start on a worker that announced that it leaves while the assignment was being stored. The write of a
 // slow store takes seconds.
 TEST_F(Drain, assignedTaskIsNotStartedOnADrainingWorker)
