Workflow: a rejection by a neighbour does not deny a write that may still take effect

The neighbour knew that the credential had been taken away and answered 401, which went to the caller. The cut held the write back and delivered it 12 s later, so a job ran that had been rejected.

Change: once a write has been sent without an answer, any rejection, here or by a neighbour, is reported as unclear. Reads never become unclear.

Tests: CallRouter.rejectionAfterAnUnclearWriteIsNotARejection fails without the change.

--- a/include/corianderscale/Workflow/CallRouter.h
+++ b/include/corianderscale/Workflow/CallRouter.h
@@ -35,7 +35,7 @@
 /**
  * Serves calls here or through a neighbour. An instance that cannot reach the store hands a call to one that can, within
  * the caller's time limit. All calls are idempotent by their job id, so a call may be served by several instances. If
- * the outcome at one of them is unknown, a later refusal is reported as unclear.
+ * the outcome at one of them is unknown, a later rejection of any kind is reported as unclear.
  *
  * Thread safety: only on the thread of the event loop.
  */
--- a/lib/Workflow/CallRouter.cpp
+++ b/lib/Workflow/CallRouter.cpp
@@ -22,6 +22,23 @@
     return answer.outcome != CallOutcome::Refused && answer.outcome != CallOutcome::Unclear;
 }
 
+/** Whether an answer says that the call did not take effect. */
+bool isRejection(const CallAnswer &answer)
+{
+    switch (answer.outcome) {
+    case CallOutcome::Refused:
+    case CallOutcome::Unauthorized:
+    case CallOutcome::NoSuchQueue:
+    case CallOutcome::NoSuchJob:
+    case CallOutcome::Invalid:
+        return true;
+    case CallOutcome::Done:
+    case CallOutcome::Unclear:
+        return false;
+    }
+    return false;
+}
+
 } // namespace
 
 /** A call on its way to an instance that can serve it. */
@@ -36,6 +53,21 @@
     bool unclear = false;
     bool servedHere = false;
     std::string reason;
+
+    /** Records that an instance did not answer, or does not know the outcome. Only writes have an effect. */
+    void noteUnclear()
+    {
+        unclear = unclear || call.method != "GET";
+    }
+
+    /** Passes the answer to the caller. A write that may have taken effect elsewhere, even later, was not rejected. */
+    void finish(CallAnswer answer) const
+    {
+        if (unclear && isRejection(answer)) {
+            answer.outcome = CallOutcome::Unclear;
+        }
+        done(answer);
+    }
 };
 
 CallRouter::CallRouter(Settings settings, Clock clock, const StoreWatch &store, DataCentreId dataCentre, Hooks hooks)
@@ -80,14 +112,12 @@
     routing->servedHere = deadline >= routing->deadline;
     m_hooks.serve(routing->call, deadline, [this, routing](const CallAnswer &answer) {
         if (isServed(answer) || routing->servedHere) {
-            CallAnswer final = answer;
-            if (routing->unclear && answer.outcome == CallOutcome::Refused) {
-                final.outcome = CallOutcome::Unclear;
-            }
-            routing->done(final);
+            routing->finish(answer);
             return;
         }
-        routing->unclear = routing->unclear || answer.outcome == CallOutcome::Unclear;
+        if (answer.outcome == CallOutcome::Unclear) {
+            routing->noteUnclear();
+        }
         routing->reason = answer.reason;
         askNext(routing);
     });
@@ -156,13 +186,15 @@
         m_failedAt.erase(neighbour.address);
         m_newestSeen = std::max(m_newestSeen, result.answer->configuration);
         ++m_counts.relayedServed;
-        routing->done(result.answer->answer);
+        routing->finish(result.answer->answer);
         return;
     }
     m_failedAt[neighbour.address] = m_clock.now();
     const bool mayHaveTakenEffect
         = result.answer ? result.answer->answer.outcome == CallOutcome::Unclear : result.sent;
-    routing->unclear = routing->unclear || mayHaveTakenEffect;
+    if (mayHaveTakenEffect) {
+        routing->noteUnclear();
+    }
     askNext(routing);
 }
 
@@ -177,7 +209,7 @@
     const Duration outage = unreachableSince ? now - *unreachableSince : Duration(0);
     ++m_counts.refusedWithoutStore;
     CallAnswer answer;
-    answer.outcome = routing->unclear ? CallOutcome::Unclear : CallOutcome::Refused;
+    answer.outcome = CallOutcome::Refused;
     answer.reason = routing->reason;
     answer.retryAfter = decision::callerReturnAfter({routing->deadline - now, outage});
     logEvent(LogLevel::Info,
@@ -187,7 +219,7 @@
               {"outage_ms", milliseconds(outage)},
               {"left_ms", milliseconds(routing->deadline - now)},
               {"retry_after_ms", milliseconds(answer.retryAfter)}});
-    routing->done(answer);
+    routing->finish(answer);
 }
 
 void CallRouter::serveForNeighbour(const CallerCall &call,
--- a/unittests/Workflow/CallRouterTest.cpp
+++ b/unittests/Workflow/CallRouterTest.cpp
@@ -91,6 +91,8 @@
         JobIntake intake;
         ConfigurationVersion configuration{5};
         bool isDown = false;
+        /** Whether this instance knows that the callers' credential was taken away. */
+        bool rejectsCredential = false;
         CallRouter router;
     };
 
@@ -139,6 +141,10 @@
     {
         CallRouter::Hooks hooks;
         hooks.serve = [&node](const CallerCall &call, MonotonicTime deadline, const CallDone &done) {
+            if (node.rejectsCredential) {
+                done({CallOutcome::Unauthorized, "the credential is unknown", {}, {}, {}});
+                return;
+            }
             JobSpec spec;
             spec.id = JobId(call.path.substr(3));
             spec.queue = QueueName("q");
@@ -262,6 +268,20 @@
     EXPECT_EQ(cluster.submitAndWait(0, "job").outcome, CallOutcome::Done);
 }
 
+// Guards against a rejection of a job that runs later: the write of this instance was held up by a cut and takes effect
+// after a neighbour, which knows that the credential was taken away, rejected the call.
+TEST(CallRouter, rejectionAfterAnUnclearWriteIsNotARejection)
+{
+    Cluster cluster(2);
+    cluster.timeline.runFor(seconds(1));
+    cluster.nodes[0]->access.fault = StoreAccess::Fault::Silent;
+    cluster.nodes[1]->configuration = ConfigurationVersion(6);
+    cluster.nodes[1]->rejectsCredential = true;
+    EXPECT_EQ(cluster.submitAndWait(0, "job1").outcome, CallOutcome::Unclear);
+    EXPECT_EQ(cluster.submitAndWait(0, "job2").outcome, CallOutcome::Unauthorized)
+        << "nothing was written once the store is known to be unreachable";
+}
+
 // Guards against a neighbour that decides by an older configuration than the instance that was called, for example
 // with a credential that was taken away.
 TEST(CallRouter, neighbourWithAnOlderConfigurationDoesNotServe)
