--- a/include/corianderscale/Workflow/CallRelay.h
+++ b/include/corianderscale/Workflow/CallRelay.h
@@ -31,8 +31,8 @@
 {
 public:
     /** Serves a call of a neighbour; calls the completion once. */
-    using Serve = std::function<
-        void(const CallerCall &, ConfigurationVersion atLeast, const std::function<void(const RoutedAnswer &)> &)>;
+    using Serve = std::function<void(
+        const CallerCall &, ConfigurationVersion atLeast, const std::function<void(const RoutedAnswer &)> &)>;
 
     CallRelay(boost::asio::io_context &loop, Serve serve);
 
--- a/include/corianderscale/Workflow/CallRouter.h
+++ b/include/corianderscale/Workflow/CallRouter.h
@@ -33,9 +33,9 @@
 };
 
 /**
- * Serves calls here or through a neighbour. An instance that cannot reach the store hands a call to one that can, within
- * the caller's time limit. All calls are idempotent by their job id, so a call may be served by several instances. If
- * the outcome at one of them is unknown, a later rejection of any kind is reported as unclear.
+ * Serves calls here or through a neighbour. An instance that cannot reach the store hands a call to one that can,
+ * within the caller's time limit. All calls are idempotent by their job id, so a call may be served by several
+ * instances. If the outcome at one of them is unknown, a later rejection of any kind is reported as unclear.
  *
  * Thread safety: only on the thread of the event loop.
  */
@@ -57,11 +57,8 @@
         /** Serves a call on this instance; answers by the deadline. */
         std::function<void(const CallerCall &, MonotonicTime deadline, CallDone)> serve;
         /** Sends a call to the neighbour at an address. */
-        std::function<void(const std::string &address,
-                           const CallerCall &,
-                           ConfigurationVersion atLeast,
-                           Duration limit,
-                           RelayDone)>
+        std::function<void(
+            const std::string &address, const CallerCall &, ConfigurationVersion atLeast, Duration limit, RelayDone)>
             relay;
         std::function<std::vector<Neighbour>()> neighbours;
         /** Version of the configuration in force here; 0 if there is none. */
--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -51,8 +51,8 @@
     OrganisationId organisation;
 };
 
-/** Time limit of a call: @p callerTimeout, or the call timeout of its queue if that is known and shorter. Thread safety:
- * pure. */
+/** Time limit of a call: @p callerTimeout, or the call timeout of its queue if that is known and shorter. Thread
+ * safety: pure. */
 Duration callTimeLimit(const Catalogue *catalogue,
                        const std::string &host,
                        const std::string &path,
@@ -101,11 +101,8 @@
     struct Write;
 
     /** Counts the waiting jobs of a queue from the key @p from on; adds them to @p counted. */
-    void countWaitingFrom(const std::string &from,
-                          const QueueName &queue,
-                          std::size_t counted,
-                          MonotonicTime deadline,
-                          CallDone done);
+    void countWaitingFrom(
+        const std::string &from, const QueueName &queue, std::size_t counted, MonotonicTime deadline, CallDone done);
     void send(const std::shared_ptr<Write> &write);
     void scheduleRetry(const std::shared_ptr<Write> &write);
     void finish(const std::shared_ptr<Write> &write, const ChangeResult &result);
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -45,8 +45,8 @@
 };
 
 /**
- * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`, `advisor`,
- * `processor_share`, `descriptors`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
+ * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`,
+ * `advisor`, `processor_share`, `descriptors`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -29,8 +29,8 @@
     StateSweeper::Times sweeper;
     /** Time between two steps of the engine and the election. */
     Duration stepInterval = std::chrono::milliseconds(50);
-    /** An owner whose step is later than this places no work for @c lateOwnerPause. The members of a gang must all start
-     * within some seconds, and leases must be renewed in time. */
+    /** An owner whose step is later than this places no work for @c lateOwnerPause. The members of a gang must all
+     * start within some seconds, and leases must be renewed in time. */
     Duration maximumLateness = std::chrono::milliseconds(250);
     Duration lateOwnerPause = std::chrono::milliseconds(500);
     /** Pause between two reads of the discovery table; workers report every 1.5 s. */
--- a/include/corianderscale/Workflow/StoreWatch.h
+++ b/include/corianderscale/Workflow/StoreWatch.h
@@ -47,9 +47,11 @@
     StoreWatch(Settings settings, Clock clock, RowStore &store, Changed changed);
 
     void change(RowChange change, Duration limit, ChangeDone done) override;
-    void
-    read(const std::string &table, const std::string &from, const std::string &to, Duration limit, PageDone done)
-        override;
+    void read(const std::string &table,
+              const std::string &from,
+              const std::string &to,
+              Duration limit,
+              PageDone done) override;
     void follow(const std::string &table, RowVersion after, Duration wait, Duration limit, PageDone done) override;
 
     StoreReach reach() const;
--- a/lib/Decision/NeighbourChoice.cpp
+++ b/lib/Decision/NeighbourChoice.cpp
@@ -27,9 +27,8 @@
         const bool failed = neighbour.sinceFailure && *neighbour.sinceFailure < FailureMemory;
         return std::pair(failed, !neighbour.sameDataCentre);
     };
-    std::stable_sort(order.begin(), order.end(), [&rank](std::size_t left, std::size_t right) {
-        return rank(left) < rank(right);
-    });
+    std::stable_sort(
+        order.begin(), order.end(), [&rank](std::size_t left, std::size_t right) { return rank(left) < rank(right); });
     order.resize(std::min(order.size(), most));
     const auto firstFailed
         = std::find_if(order.begin(), order.end(), [&rank](std::size_t index) { return rank(index).first; });
--- a/lib/Workflow/CallRelay.cpp
+++ b/lib/Workflow/CallRelay.cpp
@@ -123,9 +123,8 @@
 CallRelay::CallRelay(boost::asio::io_context &loop, Serve serve)
     : m_serve(std::move(serve))
     , m_client(loop, clientSettings())
-    , m_server(loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
-        handle(request, respond);
-    })
+    , m_server(
+          loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) { handle(request, respond); })
 {
 }
 
--- a/lib/Workflow/CallRouter.cpp
+++ b/lib/Workflow/CallRouter.cpp
@@ -138,8 +138,7 @@
         }
         views.push_back(view);
     }
-    const std::vector<std::size_t> order
-        = decision::chooseNeighbours(views, ++m_seed, m_settings.neighboursPerCall);
+    const std::vector<std::size_t> order = decision::chooseNeighbours(views, ++m_seed, m_settings.neighboursPerCall);
     for (auto index = order.rbegin(); index != order.rend(); ++index) {
         routing->neighbours.push_back(all[*index]);
     }
@@ -159,13 +158,12 @@
     routing->neighbours.pop_back();
     ++m_counts.relayed;
     const ConfigurationVersion atLeast = std::max(m_newestSeen, m_hooks.configuration());
-    m_hooks.relay(neighbour.address,
-                  routing->call,
-                  atLeast,
-                  std::min(left, m_settings.relayTimeout),
-                  [this, routing, neighbour](const RelayResult &result) {
-                      neighbourAnswered(routing, neighbour, result);
-                  });
+    m_hooks.relay(
+        neighbour.address,
+        routing->call,
+        atLeast,
+        std::min(left, m_settings.relayTimeout),
+        [this, routing, neighbour](const RelayResult &result) { neighbourAnswered(routing, neighbour, result); });
 }
 
 void CallRouter::neighbourAnswered(const std::shared_ptr<Routing> &routing,
@@ -190,8 +188,7 @@
         return;
     }
     m_failedAt[neighbour.address] = m_clock.now();
-    const bool mayHaveTakenEffect
-        = result.answer ? result.answer->answer.outcome == CallOutcome::Unclear : result.sent;
+    const bool mayHaveTakenEffect = result.answer ? result.answer->answer.outcome == CallOutcome::Unclear : result.sent;
     if (mayHaveTakenEffect) {
         routing->noteUnclear();
     }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -282,8 +282,7 @@
     PlacementNeed need = needOf(candidate, tasks);
     need.requireProven = true;
     need.excludeFailing = true;
-    const std::vector<std::size_t> entries
-        = findRoom(need, candidate.job->spec.steps[candidate.step].gang, board);
+    const std::vector<std::size_t> entries = findRoom(need, candidate.job->spec.steps[candidate.step].gang, board);
     assignTo(candidate, tasks, entries, board, now);
     tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(entries.size()));
     std::erase_if(tasks, waits);
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -48,9 +48,10 @@
         , m_binding(makeBinding(m_loop, m_settings, m_clock))
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_loop)
-        , m_store({}, m_clock, *m_binding.store, [this](bool reachable, const std::string &reason) {
-            handleStoreReachability(reachable, reason);
-        })
+        , m_store({},
+                  m_clock,
+                  *m_binding.store,
+                  [this](bool reachable, const std::string &reason) { handleStoreReachability(reachable, reason); })
         , m_intake({},
                    m_clock,
                    m_store,
@@ -280,12 +281,11 @@
     /** Reads one row again and again until the store answers, so that its return is noticed soon. */
     void probeStore()
     {
-        m_store.read(
-            OwnerTable, OwnerKey, keyAfter(OwnerKey), ProbeTimeout, [this](const auto &, const StateError &) {
-                if (m_store.reach() == StoreReach::Unreachable) {
-                    callLater(ProbePause, [this] { probeStore(); });
-                }
-            });
+        m_store.read(OwnerTable, OwnerKey, keyAfter(OwnerKey), ProbeTimeout, [this](const auto &, const StateError &) {
+            if (m_store.reach() == StoreReach::Unreachable) {
+                callLater(ProbePause, [this] { probeStore(); });
+            }
+        });
     }
 
     void waitForSignal()
--- a/lib/Workflow/StoreWatch.cpp
+++ b/lib/Workflow/StoreWatch.cpp
@@ -69,11 +69,8 @@
                    after,
                    wait,
                    limit,
-                   [this,
-                    alive = std::weak_ptr<int>(m_alive),
-                    sentAt = m_clock.now(),
-                    wait,
-                    done = std::move(done)](const std::optional<RowPage> &page, const StateError &error) {
+                   [this, alive = std::weak_ptr<int>(m_alive), sentAt = m_clock.now(), wait, done = std::move(done)](
+                       const std::optional<RowPage> &page, const StateError &error) {
                        if (alive.lock()) {
                            const bool answered = page || error.code == StateCode::NotFound;
                            record(sentAt, answered, wait, error.reason);
@@ -116,8 +113,7 @@
 bool StoreWatch::isOverdue(MonotonicTime now) const
 {
     const auto oldest = m_inFlight.upper_bound(m_lastAnsweredSentAt);
-    const Duration limit
-        = std::max(m_settings.overdueAfter, m_settings.overduePerAnswerTime * m_lastAnswerTook);
+    const Duration limit = std::max(m_settings.overdueAfter, m_settings.overduePerAnswerTime * m_lastAnswerTook);
     return oldest != m_inFlight.end() && now - *oldest > limit;
 }
 
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -197,14 +197,14 @@
     const MonotonicTime now = m_clock.now();
     ++m_sendingsInFlight;
     m_resendAt = now + m_times.resendAfter;
-    m_store.change(*m_write,
-                   m_times.writeTimeout,
-                   [this, alive = std::weak_ptr<int>(m_alive), write = m_writeNumber, sentAt = now](
-                       const ChangeResult &result) {
-                       if (alive.lock()) {
-                           finishWrite(write, sentAt, result);
-                       }
-                   });
+    m_store.change(
+        *m_write,
+        m_times.writeTimeout,
+        [this, alive = std::weak_ptr<int>(m_alive), write = m_writeNumber, sentAt = now](const ChangeResult &result) {
+            if (alive.lock()) {
+                finishWrite(write, sentAt, result);
+            }
+        });
 }
 
 void TermChain::finishWrite(std::uint64_t write, MonotonicTime sentAt, const ChangeResult &result)
--- a/unittests/Workflow/CallRelayTest.cpp
+++ b/unittests/Workflow/CallRelayTest.cpp
@@ -25,7 +25,8 @@
 {
     ConfigurationVersion atLeast;
     const CallerCall call = submission();
-    const auto decoded = decodeRelayedCall(encodeRelayedCall(call, ConfigurationVersion(9), milliseconds(600)), atLeast);
+    const auto decoded
+        = decodeRelayedCall(encodeRelayedCall(call, ConfigurationVersion(9), milliseconds(600)), atLeast);
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->method, call.method);
     EXPECT_EQ(decoded->host, call.host);
@@ -53,7 +54,10 @@
 TEST(CallRelay, malformedMessagesAreRejected)
 {
     ProtocolError error;
-    for (const char *body : {"", "{}", "[1]", R"({"outcome":"maybe","reason":"","retry_after_ms":0,"configuration":1})",
+    for (const char *body : {"",
+                             "{}",
+                             "[1]",
+                             R"({"outcome":"maybe","reason":"","retry_after_ms":0,"configuration":1})",
                              R"({"outcome":"done","reason":"","retry_after_ms":0,"configuration":1,"state":"x"})"}) {
         EXPECT_FALSE(decodeRoutedAnswer(jsonResponse(200, body), error)) << body;
     }
@@ -68,15 +72,14 @@
 {
     boost::asio::io_context loop;
     std::string served;
-    CallRelay server(loop,
-                     [&served](const CallerCall &call,
-                               ConfigurationVersion,
-                               const std::function<void(const RoutedAnswer &)> &done) {
-                         served = call.path;
-                         RoutedAnswer answer;
-                         answer.answer.state = JobState::Queued;
-                         done(answer);
-                     });
+    CallRelay server(
+        loop,
+        [&served](const CallerCall &call, ConfigurationVersion, const std::function<void(const RoutedAnswer &)> &done) {
+            served = call.path;
+            RoutedAnswer answer;
+            answer.answer.state = JobState::Queued;
+            done(answer);
+        });
     CallRelay client(loop, [](const CallerCall &, ConfigurationVersion, const auto &) {});
     TransportError error;
     ASSERT_TRUE(server.listen("127.0.0.1:0", error)) << error.reason;
@@ -87,7 +90,8 @@
             loop.stop();
         }
     };
-    client.send("127.0.0.1:" + std::to_string(server.port()), submission(), ConfigurationVersion(1), seconds(2), collect);
+    client.send(
+        "127.0.0.1:" + std::to_string(server.port()), submission(), ConfigurationVersion(1), seconds(2), collect);
     client.send("127.0.0.1:1", submission(), ConfigurationVersion(1), seconds(2), collect);
     loop.run_for(seconds(5));
     ASSERT_EQ(results.size(), 2U);
--- a/unittests/Workflow/CallRouterTest.cpp
+++ b/unittests/Workflow/CallRouterTest.cpp
@@ -50,8 +50,9 @@
             m_store.read(table, from, to, limit, std::move(done));
             return;
         }
-        m_timeline.after(fault == Fault::Silent ? limit : milliseconds(2),
-                         [done] { done(std::nullopt, {StateCode::Unavailable, "cut off"}); });
+        m_timeline.after(fault == Fault::Silent ? limit : milliseconds(2), [done] {
+            done(std::nullopt, {StateCode::Unavailable, "cut off"});
+        });
     }
 
     void follow(const std::string &table, RowVersion after, Duration wait, Duration limit, PageDone done) override
@@ -202,11 +203,10 @@
 
 std::size_t countOutcome(const Cluster &cluster, CallOutcome outcome)
 {
-    return static_cast<std::size_t>(std::count_if(cluster.answers.begin(),
-                                                  cluster.answers.end(),
-                                                  [outcome](const auto &each) {
-                                                      return each.second.outcome == outcome;
-                                                  }));
+    return static_cast<std::size_t>(
+        std::count_if(cluster.answers.begin(), cluster.answers.end(), [outcome](const auto &each) {
+            return each.second.outcome == outcome;
+        }));
 }
 
 // Guards against jobs that are refused because their caller is connected to an instance that the store turns away.
--- a/unittests/Workflow/DrainTest.cpp
+++ b/unittests/Workflow/DrainTest.cpp
@@ -104,8 +104,8 @@
     EXPECT_TRUE(isCompleted("gang"));
 }
 
-// Guards against a start on a worker that announced that it leaves while the assignment was being stored. The write of a
-// slow store takes seconds.
+// Guards against a start on a worker that announced that it leaves while the assignment was being stored. The write of
+// a slow store takes seconds.
 TEST_F(Drain, assignedTaskIsNotStartedOnADrainingWorker)
 {
     submitGang("gang", 6, seconds(1));
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -367,8 +367,7 @@
         if (onStart) {
             onStart(key.first, key.second);
         }
-        const bool fails
-            = machine.failsRuns || static_cast<int>(m_failed[key.first].size()) < behaviour.failures;
+        const bool fails = machine.failsRuns || static_cast<int>(m_failed[key.first].size()) < behaviour.failures;
         const Duration failsAfter = machine.failsRuns ? Duration(milliseconds(150)) : behaviour.work / 2;
         const Duration work = fails ? failsAfter : behaviour.work;
         m_timeline.after(work, [this, id = machine.report.id, key, serial, fails] { finish(id, key, serial, fails); });
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -174,8 +174,7 @@
     }
     m_store.apply({{}, {{WaitingTable, waitingKey(QueueName("q2"), JobId("1")), "", {}, false}}, {}});
     CallAnswer answer;
-    m_intake.countWaiting(
-        queue, m_timeline.now() + seconds(1), [&answer](const CallAnswer &given) { answer = given; });
+    m_intake.countWaiting(queue, m_timeline.now() + seconds(1), [&answer](const CallAnswer &given) { answer = given; });
     m_timeline.runFor(seconds(2));
     EXPECT_EQ(answer.waiting, 35U);
 }
--- a/unittests/Workflow/TableFollowerTest.cpp
+++ b/unittests/Workflow/TableFollowerTest.cpp
@@ -19,12 +19,11 @@
     TableFollower::Settings settings;
     settings.table = "t";
     settings.pause = milliseconds(20);
-    TableFollower follower(loop,
-                           store,
-                           settings,
-                           {[](const std::vector<Row> &) {},
-                            [&changed](const std::vector<Row> &rows) { changed += rows.size(); },
-                            {}});
+    TableFollower follower(
+        loop,
+        store,
+        settings,
+        {[](const std::vector<Row> &) {}, [&changed](const std::vector<Row> &rows) { changed += rows.size(); }, {}});
     follower.start();
     timeline.runFor(milliseconds(100));
     for (int i = 0; i < 95; ++i) {
