Workflow: the order of waiting work is a decision of its own

A pure move: decision::waitingRank gets the priority, the guarantee and the times that JobEngine::candidates had inline.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -184,6 +184,8 @@
         std::size_t occurrence = 0;
         std::size_t step = 0;
         const QueueSpec *queue = nullptr;
+        /** When the occurrence was submitted or due. */
+        MonotonicTime since;
         /** Time after which the occurrence is late. */
         MonotonicTime objective;
         /** Whether the step would end after the objective even if it started now. */
@@ -260,6 +262,8 @@
     bool isPlacingPaused(MonotonicTime now);
     void plan(MonotonicTime now);
     std::vector<Candidate> candidates(MonotonicTime now);
+    /** When an occurrence was submitted or due. */
+    MonotonicTime countedSince(const Job &job, std::size_t occurrence) const;
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
     MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -1,3 +1,4 @@
+#include "corianderscale/Decision/WaitingOrder.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
 
@@ -9,8 +10,6 @@
 
 namespace {
 
-/** Number of priority levels by which late work is lowered, because late work earns less than work in time. */
-constexpr double LatePriorityPenalty = 1.5;
 /** No further workers are reserved for waiting gangs when more than this share of all workers is; reserved workers
     become idle until the gang starts. */
 constexpr double MaximumGangReserveShare = 0.05;
@@ -99,8 +98,11 @@
     const std::set<JobId> covered = guaranteedJobs();
     for (Candidate &candidate : found) {
         candidate.guaranteed = covered.count(candidate.job->spec.id) > 0;
-        const double rank
-            = candidate.guaranteed ? -1.0 : candidate.queue->priority + (candidate.late ? LatePriorityPenalty : 0.0);
+        const Duration estimate = candidate.job->spec.steps[candidate.step].estimate;
+        const double rank = decision::waitingRank({candidate.queue->priority,
+                                                   candidate.guaranteed,
+                                                   now + estimate - candidate.since,
+                                                   candidate.objective - candidate.since});
         ordered.emplace_back(std::tuple(rank, candidate.objective, candidate.job->spec.id), candidate);
     }
     std::stable_sort(
@@ -112,15 +114,19 @@
     return found;
 }
 
+MonotonicTime JobEngine::countedSince(const Job &job, std::size_t occurrence) const
+{
+    return job.spec.occurrences > 0 ? toMonotonic(dueTime(job.spec, occurrence), m_clock)
+                                    : std::min(job.learntAt, toMonotonic(job.spec.acceptedAt, m_clock));
+}
+
 MonotonicTime JobEngine::objectiveOf(const Job &job,
                                      const QueueSpec &queue,
                                      std::size_t occurrence,
                                      Duration chain) const
 {
-    const MonotonicTime since = job.spec.occurrences > 0
-        ? toMonotonic(dueTime(job.spec, occurrence), m_clock)
-        : std::min(job.learntAt, toMonotonic(job.spec.acceptedAt, m_clock));
-    return since + std::chrono::duration_cast<Duration>(chain * queue.stretch) + queue.objectiveSlack;
+    return countedSince(job, occurrence) + std::chrono::duration_cast<Duration>(chain * queue.stretch)
+        + queue.objectiveSlack;
 }
 
 void JobEngine::addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into)
@@ -140,6 +146,7 @@
             candidate.occurrence = k;
             candidate.step = s;
             candidate.queue = &queue;
+            candidate.since = countedSince(job, k);
             candidate.objective = objectiveOf(job, queue, k, chain);
             candidate.late = now + job.spec.steps[s].estimate > candidate.objective;
             into.push_back(candidate);
