unittests/Soak: nodes relay calls and releases of the term to each other

The soak checks REFUSED, TWICE and LOST on real processes; with a relay port in the settings of its nodes it also covers calls that go through neighbours.

--- a/unittests/Soak/NodeProcess.cpp
+++ b/unittests/Soak/NodeProcess.cpp
@@ -41,8 +41,8 @@
 {
     std::ofstream settings(m_directory / (m_name + ".yaml"));
     settings << "instance: " << m_name << "\ndata_centre: dc\ncaller_listen: 127.0.0.1:" << m_callerPort
-             << "\nreadiness_listen: 127.0.0.1:" << m_readinessPort << "\nstore: " << store
-             << "\nprocessor_share: 0.5\nlongest_lease_ms: 10000\ngrace_s: 6\n";
+             << "\nreadiness_listen: 127.0.0.1:" << m_readinessPort << "\nrelay_listen: 127.0.0.1:" << findFreePort()
+             << "\nstore: " << store << "\nprocessor_share: 0.5\nlongest_lease_ms: 10000\ngrace_s: 6\n";
 }
 
 NodeProcess::~NodeProcess()
