Workflow: no job waits long for a proven worker beside idle ones

While less than half of the fleet is in use, no job may have nothing running for 3 s.

Change: the wait is at most 2 s while less than 55% of the accelerators are in use.

--- a/include/corianderscale/Decision/FailureWave.h
+++ b/include/corianderscale/Decision/FailureWave.h
@@ -45,8 +45,11 @@
 /** Whether a run that started @p age ago and goes on shows that its worker does not fail what it starts. */
 bool provesWorker(Duration age);
 
-/** Whether a task should still wait for a proven worker, @p sinceFailure after its last failure, if one more failure
- * fails its job. */
-bool shouldWaitForProof(Duration sinceFailure);
+/**
+ * Whether a task should still wait for a proven worker, @p sinceFailure after its last failure, if one more failure
+ * fails its job. @p usedShare is the share of the accelerators in use, from 0 to 1: while half of the fleet is idle, no
+ * work may wait for long.
+ */
+bool shouldWaitForProof(Duration sinceFailure, double usedShare);
 
 } // namespace coriander::decision
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -354,6 +354,8 @@
     /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
     bool m_waveInPass = false;
     bool m_provenMarked = false;
+    /** Share of the accelerators in use; valid while workers are marked as proven. */
+    double m_usedShare = 0;
     DataCentreWatch m_dataCentreWatch;
     /** Jobs with rows to store, in order of the job id. */
     std::set<JobId> m_dirtyJobs;
--- a/lib/Decision/FailureWave.cpp
+++ b/lib/Decision/FailureWave.cpp
@@ -18,6 +18,10 @@
 constexpr Duration ProofTime = std::chrono::milliseconds(800);
 /** Longest wait for a proven worker with room; waves last 5 to 7 s. */
 constexpr Duration LongestProofWait = std::chrono::seconds(8);
+/** The same while a smaller share of the fleet is in use; the contract lets no work wait for 3 s beside idle workers.
+ */
+constexpr Duration LongestProofWaitWhenIdle = std::chrono::milliseconds(2000);
+constexpr double BusyShare = 0.55;
 /** Upper limit of the remembered failures. */
 constexpr std::size_t MaximumFailures = 1000;
 
@@ -68,9 +72,9 @@
     return age >= ProofTime;
 }
 
-bool shouldWaitForProof(Duration sinceFailure)
+bool shouldWaitForProof(Duration sinceFailure, double usedShare)
 {
-    return sinceFailure < LongestProofWait;
+    return sinceFailure < (usedShare < BusyShare ? LongestProofWaitWhenIdle : LongestProofWait);
 }
 
 } // namespace coriander::decision
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -39,6 +39,18 @@
     return job.firstDue + job.interval * static_cast<std::int64_t>(occurrence) + DueTimeMargin;
 }
 
+/** Share of the accelerators of the workers on the board that runs use, from 0 to 1. */
+double usedAcceleratorShare(const PlacementBoard &board)
+{
+    std::int64_t used = 0;
+    std::int64_t capacity = 0;
+    for (const BoardEntry &entry : board.entries()) {
+        used += entry.worker->used.accelerators.count();
+        capacity += entry.worker->report.capacity.accelerators.count();
+    }
+    return capacity == 0 ? 1.0 : static_cast<double>(used) / static_cast<double>(capacity);
+}
+
 } // namespace
 
 void JobEngine::plan(MonotonicTime now)
@@ -254,6 +266,7 @@
     const bool wave = m_failureWave.since(now, workers).has_value();
     m_provenMarked = since.has_value();
     if (since) {
+        m_usedShare = usedAcceleratorShare(board);
         for (BoardEntry &entry : board.entries()) {
             entry.proven = isProvenSince(*entry.worker, *since, now);
         }
@@ -273,7 +286,7 @@
 bool JobEngine::waitsForProof(const Job &job, const Task &task, MonotonicTime now) const
 {
     return m_waveInPass && task.lastFailureAt && task.failures + 1 >= maximumAttempts(job)
-        && decision::shouldWaitForProof(now - *task.lastFailureAt);
+        && decision::shouldWaitForProof(now - *task.lastFailureAt, m_usedShare);
 }
 
 void JobEngine::placeOnProvenWorkers(const Candidate &candidate,
--- a/unittests/Decision/FailureWaveTest.cpp
+++ b/unittests/Decision/FailureWaveTest.cpp
@@ -47,5 +47,14 @@
     EXPECT_FALSE(wave.since(Start + seconds(8), 48));
 }
 
+// Guards against work that waits for proof beside idle workers for 3 s, which the contract does not allow.
+TEST(FailureWave, waitIsShortWhileWorkersAreIdle)
+{
+    EXPECT_TRUE(shouldWaitForProof(seconds(1), 0.2));
+    EXPECT_FALSE(shouldWaitForProof(milliseconds(2100), 0.5));
+    EXPECT_TRUE(shouldWaitForProof(seconds(5), 0.8));
+    EXPECT_FALSE(shouldWaitForProof(seconds(9), 0.8));
+}
+
 } // namespace
 } // namespace coriander::decision
