--- a/lib/Workflow/CallRouter.cpp
+++ b/lib/Workflow/CallRouter.cpp
@@ -51,7 +51,8 @@
     bool neighboursChosen = false;
     /** Whether the call may have taken effect somewhere. */
     bool unclear = false;
-    bool servedHere = false;
+    /** Whether the present attempt to serve the call here has all the time that is left, so that none follows. */
+    bool isLastAttempt = false;
     std::string reason;
 
     /** Records that an instance did not answer, or does not know the outcome. Only writes have an effect. */
@@ -109,9 +110,9 @@
 
 void CallRouter::serveHere(const std::shared_ptr<Routing> &routing, MonotonicTime deadline)
 {
-    routing->servedHere = deadline >= routing->deadline;
+    routing->isLastAttempt = deadline >= routing->deadline;
     m_hooks.serve(routing->call, deadline, [this, routing](const CallAnswer &answer) {
-        if (isServed(answer) || routing->servedHere) {
+        if (isServed(answer) || routing->isLastAttempt) {
             routing->finish(answer);
             return;
         }
