--- a/review/standin/Checks.cpp
+++ b/review/standin/Checks.cpp
@@ -28,11 +28,26 @@
 {
 }
 
-bool StandstillWatch::standsStill() const
+const StepPlan *StandstillWatch::currentStep() const
 {
     const JobView &job = m_fleet.job(m_id);
-    const StepPlan &step = job.plan.steps.front();
-    if (!job.runningTasks.empty() || job.doneTasks.size() >= step.count) {
+    for (std::size_t i = 0; i < job.plan.steps.size(); ++i) {
+        const std::string prefix = m_id + ".0." + std::to_string(i) + ".";
+        std::size_t done = 0;
+        for (const std::string &task : job.doneTasks) {
+            done += task.starts_with(prefix) ? 1 : 0;
+        }
+        if (done < job.plan.steps[i].count) {
+            return &job.plan.steps[i];
+        }
+    }
+    return nullptr;
+}
+
+bool StandstillWatch::standsStill() const
+{
+    const StepPlan *step = currentStep();
+    if (step == nullptr || !m_fleet.job(m_id).runningTasks.empty()) {
         return false;
     }
     std::int64_t slots = 0;
@@ -44,14 +59,15 @@
         }
         const Amounts capacity = m_fleet.runner(i).settings().capacity;
         const Amounts free = m_fleet.freeOn(i);
-        slots += slotsFor(step.need, free);
+        slots += slotsFor(step->need, free);
         total = {total.cpu + capacity.cpu, total.memory + capacity.memory, total.gpu + capacity.gpu};
         used = {used.cpu + capacity.cpu - free.cpu,
                 used.memory + capacity.memory - free.memory,
                 used.gpu + capacity.gpu - free.gpu};
     }
-    const bool underHalf = used.cpu * 2 < total.cpu && used.memory * 2 < total.memory && used.gpu * 2 < total.gpu;
-    return underHalf && slots >= 2 * static_cast<std::int64_t>(step.count);
+    const bool underHalf
+        = used.cpu * 2 < total.cpu && used.memory * 2 < total.memory && (total.gpu == 0 || used.gpu * 2 < total.gpu);
+    return underHalf && slots >= 2 * static_cast<std::int64_t>(step->count);
 }
 
 void StandstillWatch::look()
--- a/review/standin/Checks.h
+++ b/review/standin/Checks.h
@@ -9,7 +9,8 @@
 
 /**
  * The part of rule LOST on work that stands still: for 3 s a job has nothing running while a task's turn has come,
- * there is capacity for it twice over, and under half of the service's capacity is in use. For jobs of one step.
+ * there is capacity for it twice over, and under half of the service's capacity is in use. For jobs without times whose
+ * steps follow each other.
  */
 class StandstillWatch
 {
@@ -22,6 +23,8 @@
 
 private:
     bool standsStill() const;
+    /** The step whose turn has come, or null if the job is done. */
+    const StepPlan *currentStep() const;
 
     Fleet &m_fleet;
     std::string m_id;
--- a/review/standin/Fleet.cpp
+++ b/review/standin/Fleet.cpp
@@ -28,7 +28,8 @@
 constexpr double CrossRackFactor = 3;
 constexpr int TickMs = 20;
 constexpr const char *Service = "battesimo-desk";
-constexpr const char *ApiKey = "d4a3hwrr6x73d3zji9n7";
+/** Keys of the two tenants; each has 8 GPUs guaranteed. */
+constexpr const char *ApiKeys[] = {"d4a3hwrr6x73d3zji9n7", "3hh2b9wu3fexd9dnn2ct"};
 constexpr double LongestCaseSeconds = 95;
 /** The case cannot run if the nodes are not ready after this time. */
 constexpr auto ReadyLimit = std::chrono::seconds(20);
@@ -109,13 +110,13 @@
     m_record << time << line << std::endl;
 }
 
-void Fleet::addRunners(std::size_t count, const std::string &rack, const std::string &kind)
+void Fleet::addRunners(std::size_t count, const std::string &rack, const std::string &kind, std::int64_t gpus)
 {
     for (std::size_t i = 0; i < count; ++i) {
         char id[32];
         std::snprintf(id, sizeof(id), "i-%08zx", 0x7f3a9000 + m_runners.size());
         const std::string host = "127.0.1." + std::to_string(m_runners.size() + 1);
-        Runner::Settings settings{id, host, Service, "palermo", {kind, rack}, {32000, 65536, 8}};
+        Runner::Settings settings{id, host, Service, "palermo", {kind, rack}, {32000, 65536, gpus}};
         m_runners.push_back(std::make_unique<Runner>(
             m_loop,
             settings,
@@ -148,23 +149,29 @@
                               {"public", false}});
         }
     }
-    const Json configuration
-        = {{"version", ++m_configurationVersion},
-           {"routes", routes},
-           {"services",
-            {{{"name", Service},
-              {"health_path", "/health"},
-              {"max_conns", 64},
-              {"protocol", "h1"},
-              {"tls", false},
-              {"admission_check", false},
-              {"spare", false}}}},
-           {"limits",
-            {{"max_header_bytes", 16384},
-             {"max_body_bytes", 262144},
-             {"header_timeout_ms", 3000},
-             {"idle_timeout_ms", 15000}}},
-           {"tenants", {{{"name", "kaje80"}, {"api_keys", {ApiKey}}, {"priority", 1}, {"guaranteed", {{"gpu", 8}}}}}}};
+    Json tenants = Json::array();
+    for (const char *key : ApiKeys) {
+        tenants.push_back({{"name", "tenant-" + std::to_string(tenants.size())},
+                           {"api_keys", {key}},
+                           {"priority", 1},
+                           {"guaranteed", {{"gpu", 8}}}});
+    }
+    const Json configuration = {{"version", ++m_configurationVersion},
+                                {"routes", routes},
+                                {"services",
+                                 {{{"name", Service},
+                                   {"health_path", "/health"},
+                                   {"max_conns", 64},
+                                   {"protocol", "h1"},
+                                   {"tls", false},
+                                   {"admission_check", false},
+                                   {"spare", false}}}},
+                                {"limits",
+                                 {{"max_header_bytes", 16384},
+                                  {"max_body_bytes", 262144},
+                                  {"header_timeout_ms", 3000},
+                                  {"idle_timeout_ms", 15000}}},
+                                {"tenants", tenants}};
     m_store.put("op", "config", configuration.dump());
     record("operator: configuration " + std::to_string(m_configurationVersion) + " is stored");
 }
@@ -467,6 +474,7 @@
                  const Route &route,
                  const std::string &rest,
                  const std::string &body,
+                 std::size_t tenant,
                  const Answered &answered,
                  int node,
                  int deadlineMs)
@@ -476,7 +484,7 @@
     request.method = method;
     request.path = route.prefix + rest;
     request.headers["Host"] = route.host;
-    request.headers["Corianderscale-Credential"] = ApiKey;
+    request.headers["Corianderscale-Credential"] = ApiKeys[tenant];
     request.headers["Corianderscale-Deadline-Ms"] = std::to_string(deadlineMs);
     if (!body.empty()) {
         request.headers["Content-Type"] = "application/json";
@@ -524,6 +532,7 @@
         put("long_running", step.lasting);
         put("data_rack", step.dataRack);
         put("required_label", step.label);
+        put("max_per_server", step.mostPerRunner);
         put("after", step.after);
         steps.push_back(std::move(each));
     }
@@ -534,22 +543,22 @@
         body["first_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count() + plan.firstInMs;
         body["interval_ms"] = plan.intervalMs;
     }
-    call("POST", route(plan.route), plan.id, body.dump(), answered, node, deadlineMs);
+    call("POST", route(plan.route), plan.id, body.dump(), plan.tenant, answered, node, deadlineMs);
 }
 
 void Fleet::cancel(const std::string &id, const Answered &answered, int node)
 {
-    call("DELETE", route(job(id).plan.route), id, {}, answered, node, 3000);
+    call("DELETE", route(job(id).plan.route), id, {}, job(id).plan.tenant, answered, node, 3000);
 }
 
 void Fleet::show(const std::string &id, const Answered &answered, int node)
 {
-    call("GET", route(job(id).plan.route), id, {}, answered, node, 3000);
+    call("GET", route(job(id).plan.route), id, {}, job(id).plan.tenant, answered, node, 3000);
 }
 
 void Fleet::countWaiting(const std::string &name, const Answered &answered, int node)
 {
-    call("GET", route(name), {}, {}, answered, node, 3000);
+    call("GET", route(name), {}, {}, 0, answered, node, 3000);
 }
 
 JobView &Fleet::job(const std::string &id)
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -23,6 +23,7 @@
     bool sameRack = false;
     std::string dataRack;
     std::string label;
+    std::size_t mostPerRunner = 0;
     std::int64_t failingRuns = 0;
     std::vector<std::size_t> after;
 };
@@ -30,6 +31,8 @@
 struct JobPlan {
     std::string id;
     std::string route;
+    /** Number of the tenant whose key the requester sends. */
+    std::size_t tenant = 0;
     std::vector<StepPlan> steps;
     std::size_t times = 0;
     std::int64_t firstInMs = 0;
@@ -65,7 +68,7 @@
 
     /** @name Set-up, before run() */
     ///@{
-    void addRunners(std::size_t count, const std::string &rack, const std::string &kind);
+    void addRunners(std::size_t count, const std::string &rack, const std::string &kind, std::int64_t gpus = 8);
     void addRoute(const std::string &name, int priority, int maximumAttempts);
     void startNodes(std::size_t count);
     ///@}
@@ -136,6 +139,7 @@
               const Route &route,
               const std::string &rest,
               const std::string &body,
+              std::size_t tenant,
               const Answered &answered,
               int node,
               int deadlineMs);
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -377,6 +377,223 @@
     });
 }
 
+/** Work within a tenant's guarantee does not begin while urgent work of another tenant, beyond its own, fills the pool.
+ */
+void guaranteeCase(Fleet &fleet)
+{
+    fleet.addRunners(4, "r1-1", "a");
+    fleet.addRoute("urgent", 0, 3);
+    fleet.startNodes(3);
+    if (fleet.trouble()) {
+        fleet.at(1, [&fleet] {
+            JobPlan plan = simpleJob(1, 60000);
+            plan.route = "urgent";
+            plan.tenant = 1;
+            plan.steps[0].count = 32;
+            fleet.submit(plan, {});
+        });
+    }
+    constexpr double ReclaimSeconds = 2.9;
+    fleet.at(6, [&fleet] {
+        JobPlan plan = simpleJob(100, 2000);
+        plan.route = "urgent";
+        fleet.submit(plan, [&fleet](const Answer &answer) {
+            if (answer.status != 200) {
+                fleet.finish(2);
+                return;
+            }
+            fleet.at(fleet.seconds() + ReclaimSeconds, [&fleet] {
+                const bool begun = fleet.job(jobId(100)).starts > 0;
+                if (!begun) {
+                    fleet.record("RECLAIM: the job needs 1 of the 8 GPUs of its tenant's guarantee and has not begun "
+                                 "2.9 s after its ack");
+                }
+                fleet.at(40, [&fleet, begun] {
+                    fleet.record("starts of the job by now: " + std::to_string(fleet.job(jobId(100)).starts));
+                    fleet.finish(begun ? 0 : 1);
+                });
+            });
+        });
+    });
+}
+
+/** A gang that preempts gets more tasks on a runner than its step allows. */
+void mostPerRunnerCase(Fleet &fleet)
+{
+    fleet.addRunners(8, "r1-1", "a");
+    fleet.addRoute("std", 2, 3);
+    fleet.addRoute("urgent", 0, 3);
+    fleet.startNodes(3);
+    if (fleet.trouble()) {
+        fleet.at(1, [&fleet] {
+            JobPlan plan = simpleJob(1, 60000);
+            plan.steps[0].count = 64;
+            fleet.submit(plan, {});
+        });
+    }
+    fleet.at(6, [&fleet] {
+        JobPlan plan = simpleJob(100, 4000);
+        plan.route = "urgent";
+        plan.steps[0].count = 4;
+        plan.steps[0].gang = true;
+        plan.steps[0].mostPerRunner = 1;
+        fleet.submit(plan, {});
+    });
+    fleet.at(15, [&fleet] {
+        const JobView &job = fleet.job(jobId(100));
+        bool broken = false;
+        for (const auto &[runner, starts] : job.startsByRunner) {
+            if (starts > 1) {
+                broken = true;
+                fleet.record("ROUTE: runner " + runner + " got " + std::to_string(starts)
+                             + " tasks of a step with max_per_server 1");
+            }
+        }
+        fleet.finish(job.starts == 0 ? 2 : broken ? 1 : 0);
+    });
+}
+
+/** An urgent job that can never be done, for lack of GPUs, keeps all other work from starting. */
+void hopelessUrgentCase(Fleet &fleet)
+{
+    fleet.addRunners(8, "r1-1", "a", 0);
+    fleet.addRoute("std", 1, 3);
+    fleet.addRoute("urgent", 0, 3);
+    fleet.startNodes(3);
+    for (int i = 0; i < 5; ++i) {
+        fleet.at(1 + 2 * i, [&fleet, i] {
+            JobPlan plan = simpleJob(100 + i, 1000);
+            plan.steps[0].need.gpu = 0;
+            fleet.submit(plan, {});
+        });
+    }
+    if (fleet.trouble()) {
+        fleet.at(6, [&fleet] {
+            JobPlan plan = simpleJob(1, 1000);
+            plan.route = "urgent";
+            fleet.submit(plan, {});
+        });
+    }
+    constexpr double TrafficEnd = 10;
+    const auto watches = std::make_shared<std::vector<StandstillWatch>>();
+    for (int i = 0; i < 5; ++i) {
+        watches->emplace_back(fleet, jobId(100 + i));
+    }
+    repeat(fleet, TrafficEnd + FinishSeconds, TrafficEnd + FinishSeconds + 30, [watches] {
+        for (StandstillWatch &watch : *watches) {
+            watch.look();
+        }
+    });
+    fleet.at(TrafficEnd + FinishSeconds + 31, [&fleet, watches] {
+        bool broken = false;
+        for (const StandstillWatch &watch : *watches) {
+            broken = broken || watch.broken();
+        }
+        fleet.finish(fleet.job(jobId(100)).starts == 0 ? 2 : broken ? 1 : 0);
+    });
+}
+
+/** A task that lasts ends as failed once; work of a lower priority takes its room for as long as there is any. */
+void lastingTaskCase(Fleet &fleet)
+{
+    fleet.addRunners(4, "r1-1", "a");
+    fleet.addRoute("std", 1, 3);
+    fleet.addRoute("low", 2, 3);
+    fleet.startNodes(3);
+    fleet.at(1, [&fleet] {
+        JobPlan plan = simpleJob(100, 1000);
+        plan.steps[0].lasting = true;
+        plan.steps[0].need.gpu = 8;
+        fleet.submit(plan, {});
+    });
+    // Jobs of a lower priority, each of a whole runner, keep the service full.
+    for (int i = 0; i < 24; ++i) {
+        fleet.at(4 + 0.1 * i, [&fleet, i] {
+            JobPlan plan = simpleJob(200 + i, 8000 + 500 * (i % 5));
+            plan.route = "low";
+            plan.steps[0].need.gpu = 8;
+            fleet.submit(plan, {});
+        });
+    }
+    constexpr double FailsAt = 12;
+    if (fleet.trouble()) {
+        fleet.at(FailsAt, [&fleet] {
+            for (std::size_t i = 0; i < fleet.runnerCount(); ++i) {
+                fleet.runner(i).endRun(jobId(100) + ".0.0.0", "failed");
+            }
+        });
+    }
+    // From 6 s after the last run on, for 3 s; nothing else is disturbed, so these 3 s and the 4 s before are calm.
+    const auto away = std::make_shared<int>(0);
+    repeat(fleet, FailsAt + 6, FailsAt + 9, [&fleet, away] {
+        *away += fleet.job(jobId(100)).runningTasks.empty() ? 1 : 0;
+        if (!fleet.job(jobId(100)).runningTasks.empty()) {
+            *away = -1000;
+        }
+    });
+    fleet.at(FailsAt + 9.5, [&fleet, away] {
+        if (*away > 0) {
+            fleet.record("LOST: the task that lasts has not run from 6 s to 9 s after its last run");
+        }
+    });
+    fleet.at(45, [&fleet, away] {
+        std::size_t later = 0;
+        for (int i = 0; i < 24; ++i) {
+            later += fleet.job(jobId(200 + i)).lastStartAt > FailsAt ? 1 : 0;
+        }
+        fleet.record("tasks of the lower priority that were started after the failure: " + std::to_string(later)
+                     + "; starts of the task that lasts: " + std::to_string(fleet.job(jobId(100)).starts));
+        fleet.finish(fleet.job(jobId(100)).starts == 0 ? 2 : *away > 0 ? 1 : 0);
+    });
+}
+
+/** The tasks of one job that can never be done fail on all runners; for 10 s, none of them gets work of any job. */
+void hopelessJobCase(Fleet &fleet)
+{
+    fleet.addRunners(8, "r1-1", "a");
+    fleet.addRoute("std", 1, 2);
+    fleet.startNodes(3);
+    constexpr int Jobs = 19;
+    for (int i = 0; i < Jobs; ++i) {
+        fleet.at(1.5 + 0.1 * i, [&fleet, i] {
+            JobPlan plan = simpleJob(100 + i, 16000);
+            plan.steps[0].need.gpu = 0;
+            StepPlan second = plan.steps[0];
+            second.workMs = 1000;
+            second.estimateMs = 1000;
+            second.after = {0};
+            plan.steps.push_back(second);
+            fleet.submit(plan, {});
+        });
+    }
+    // One job in 20 can never be done.
+    fleet.at(1, [&fleet] {
+        JobPlan plan = simpleJob(1, 15500);
+        plan.steps[0].count = 16;
+        plan.steps[0].need.gpu = 4;
+        plan.steps[0].failingRuns = fleet.trouble() ? 1000 : 0;
+        fleet.submit(plan, {});
+    });
+    constexpr double TrafficEnd = 3.4;
+    const auto watches = std::make_shared<std::vector<StandstillWatch>>();
+    for (int i = 0; i < Jobs; ++i) {
+        watches->emplace_back(fleet, jobId(100 + i));
+    }
+    repeat(fleet, TrafficEnd + FinishSeconds, TrafficEnd + FinishSeconds + 20, [watches] {
+        for (StandstillWatch &watch : *watches) {
+            watch.look();
+        }
+    });
+    fleet.at(TrafficEnd + FinishSeconds + 21, [&fleet, watches] {
+        std::size_t broken = 0;
+        for (const StandstillWatch &watch : *watches) {
+            broken += watch.broken() ? 1 : 0;
+        }
+        fleet.record("jobs that stood still: " + std::to_string(broken) + " of " + std::to_string(watches->size()));
+        fleet.finish(fleet.job(jobId(100)).starts == 0 ? 2 : broken > 0 ? 1 : 0);
+    });
+}
+
 using Case = void (*)(Fleet &);
 
 const std::map<std::string, Case> &cases()
@@ -387,6 +604,11 @@
                                                     {"dropped-route", droppedRouteCase},
                                                     {"cancelled-submission", cancelledSubmissionCase},
                                                     {"many-ends", manyEndsCase},
+                                                    {"hopeless-job", hopelessJobCase},
+                                                    {"lasting-task", lastingTaskCase},
+                                                    {"hopeless-urgent", hopelessUrgentCase},
+                                                    {"guarantee", guaranteeCase},
+                                                    {"most-per-runner", mostPerRunnerCase},
                                                     {"waiting-count", waitingCountCase},
                                                     {"other-kind", otherKindCase}};
     return all;
