review: the scripts name TROUBLE themselves

Cause: run.sh passed TROUBLE on without naming it. Change: each run.sh exports TROUBLE, 1 by default.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case cancelled-schedule; see ../run-case.sh for the exit status.
+# Plays the case cancelled-schedule; see ../run-case.sh for the exit status. TROUBLE=0 leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
 folder=$(dirname "$0")
 exec "$folder/../run-case.sh" cancelled-schedule "$folder"
