Workflow: changes of the owner stay within the limits of the store

Cause: the end of a job removed the progress rows of all its occurrences in one change. The batch was checked for being full (60 rows) between jobs only, so the change had 106 entries where the store takes 100. The store refuses it each time, and every next owner makes the same change from the same rows. Occurrences that change at the same time, the bytes of a change (1 MB) and the bytes of a row (65,536) had no limit either: the same fault by other ways.

Why this works: takeBatch() adds a row only if the batch stays within what the store accepts beside the row of the term; the rest of a job follows in the next batch. The end of a job removes the job's row with its state; without that row its progress has no effect, so it is removed afterwards, or by the next owner. A failed job's flag is stored with its state. Progress that exceeds a row is stored without checkpoints, which costs repeated work after a change of owner only.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -95,6 +95,20 @@
     /** For each worker, the incarnation and the highest number of an end whose effect is stored once this batch is; the
      * worker may then forget the ends up to this number. */
     std::map<WorkerId, std::pair<Incarnation, std::int64_t>> processedEnds;
+    /** Bytes of the written values. */
+    std::size_t valueBytes = 0;
+
+    void write(Row row)
+    {
+        valueBytes += row.value.size();
+        written.push_back(std::move(row));
+    }
+
+    /** Whether @p rows more rows with values of @p bytes in all stay within the limits. */
+    bool hasRoom(const ChangeLimits &limits, std::size_t rows, std::size_t bytes) const
+    {
+        return written.size() + removed.size() + rows <= limits.entries && valueBytes + bytes <= limits.valueBytes;
+    }
 
     bool empty() const
     {
@@ -134,6 +148,8 @@
     void restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress);
     /** Adds a new job; a job that is already known or ended recently is ignored. */
     void addJob(JobSpec spec);
+    /** Removes the stored progress of a job that has ended; an earlier owner had not removed all of it. */
+    void removeProgress(const JobId &id, const std::map<std::size_t, OccurrenceRecord> &progress);
     /** Cancels a job: stops its runs and starts no new ones. An unknown job is ignored. */
     void cancelJob(const JobId &id);
     ///@}
@@ -164,8 +180,9 @@
 
     /** @name Storage; one batch at a time */
     ///@{
-    /** Adds jobs until the batch has @p fullBatchRows rows; the rows of the last job may exceed this number. */
-    EngineBatch takeBatch(std::size_t fullBatchRows);
+    /** Returns the changes to store, as many as @p limits allow; the rest follows in the next batches. Within a batch
+     * the state of a job is stored with at least one of its changed occurrences, or with the removal of the job. */
+    EngineBatch takeBatch(const ChangeLimits &limits);
     void batchStored(const EngineBatch &batch);
     ///@}
 
@@ -210,7 +227,11 @@
     void completeIfDone(Job &job);
     void failJob(Job &job, const TaskKey &task);
     void stopJob(Job &job);
-    void addRowsOf(Job &job, EngineBatch &batch);
+    /** Adds the changed rows of a job to the batch; returns false if some did not fit. */
+    static bool addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now);
+    /** Adds the end of a job to the batch and forgets the job; returns false, without a change, if it did not fit. */
+    bool addEndOf(Job &job, const ChangeLimits &limits, EngineBatch &batch);
+    void removeLeftoverProgress(const ChangeLimits &limits, EngineBatch &batch);
     void forgetEndedJobs(MonotonicTime now);
     Job *findJob(const JobId &id);
     int maximumAttempts(const Job &job) const;
@@ -359,6 +380,8 @@
     DataCentreWatch m_dataCentreWatch;
     /** Jobs with rows to store, in order of the job id. */
     std::set<JobId> m_dirtyJobs;
+    /** Keys of progress rows of ended jobs that are still to be removed. */
+    std::vector<std::string> m_leftoverProgress;
     /** Jobs that ended recently, with the time; a delayed feed may still show them. */
     std::map<JobId, MonotonicTime> m_endedJobs;
     /** Workers with ends of runs that were processed but are in no batch yet. */
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -25,6 +25,8 @@
     std::vector<std::vector<Task>> steps;
     /** Whether the occurrence changed since its row was stored. */
     bool dirty = false;
+    /** Whether the store has, or is about to get, a row of the occurrence. */
+    bool stored = false;
     /** Runs whose start order is sent once the row is stored. */
     std::vector<std::pair<WorkerId, RunKey>> pendingStarts;
 };
@@ -55,8 +57,8 @@
 /** Makes a job whose tasks have not been started. */
 Job makeJob(JobSpec spec, MonotonicTime now);
 
-/** Restores the stored progress of an occurrence. Returns false, without a change, if the number of steps or tasks does
- * not match the job. */
+/** Restores the stored progress of an occurrence. Returns false, without a change of its tasks, if the number of steps
+ * or tasks does not match the job. */
 bool restoreOccurrence(Job &job, std::size_t occurrence, const OccurrenceRecord &record);
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -82,11 +82,13 @@
     void endTerm(const std::string &reason);
     void handleProgressRows(const std::vector<Row> &rows);
     void handleAllJobRows(const std::vector<Row> &rows);
+    /** Lets the engine remove the progress of jobs that have no row any more. */
+    void removeProgressWithoutJob(const std::vector<Row> &jobRows);
     void handleChangedJobRows(const std::vector<Row> &rows);
     void addJobFromRow(const Row &row);
     void handleAllWorkerRows(const std::vector<Row> &rows);
     void handleChangedWorkerRows(const std::vector<Row> &rows);
-    std::optional<RowChange> nextChange();
+    std::optional<RowChange> nextChange(const ChangeLimits &limits);
     void changeStored();
     void armTimer(Duration pause);
     void step();
--- a/include/corianderscale/Workflow/RowStore.h
+++ b/include/corianderscale/Workflow/RowStore.h
@@ -40,6 +40,17 @@
     std::vector<RowName> removed;
 };
 
+/** Limits of a change. The store refuses a change beyond them as a whole, and again each time it is sent. */
+struct ChangeLimits {
+    /** Maximum number of expectations, written rows and removed rows together. */
+    std::size_t entries = 100;
+    /** Maximum bytes of all written values together. The store accepts a message of 1 MB, in which a value takes 4/3 of
+     * its size and each entry some 100 bytes more. */
+    std::size_t valueBytes = 600000;
+    /** Maximum bytes of the value of one row. */
+    std::size_t rowBytes = 65536;
+};
+
 enum class ChangeOutcome {
     Committed,
     /** An expected version does not match; nothing was written. */
--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -60,8 +60,9 @@
         std::function<void(Epoch)> won;
         /** This instance no longer owns the term; called inside step() or a completion. */
         std::function<void(const std::string &reason)> lost;
-        /** Returns the next change to store, without the row of the term; no value if there is none. */
-        std::function<std::optional<RowChange>()> nextChange;
+        /** Returns the next change to store, without the row of the term; no value if there is none. Its size must be
+         * within the limits given. */
+        std::function<std::optional<RowChange>(const ChangeLimits &)> nextChange;
         /** The last change that nextChange() returned is stored. */
         std::function<void()> changeStored;
         /** A write that was sent at @p sentAt confirmed that this instance owns the term. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -6,6 +6,37 @@
 
 namespace coriander::workflow {
 
+namespace {
+
+/** Rows of a change of a job's state: the state, and the removed row of a waiting job. */
+constexpr std::size_t StateRows = 2;
+/** Further rows of the end of a job: the removed job and its cancel request. */
+constexpr std::size_t EndRows = 2;
+/** More than the size of an encoded StateRecord. */
+constexpr std::size_t MaximumStateBytes = 2000;
+
+/** Encodes the progress of an occurrence in at most @p limit bytes. Where they take more, the checkpoints are left out:
+ * after a change of owner their tasks start from the beginning. */
+std::string encodeOccurrenceWithin(std::size_t limit, OccurrenceRecord record, const JobId &job)
+{
+    std::string value = encodeOccurrence(record);
+    if (value.size() <= limit) {
+        return value;
+    }
+    for (std::vector<TaskRecord> &step : record.steps) {
+        for (TaskRecord &task : step) {
+            task.checkpoint.clear();
+        }
+    }
+    std::string reduced = encodeOccurrence(record);
+    logEvent(LogLevel::Warning,
+             "checkpoints-not-stored",
+             {{"job", job}, {"bytes", value.size()}, {"without_checkpoints", reduced.size()}, {"limit", limit}});
+    return reduced;
+}
+
+} // namespace
+
 JobEngine::JobEngine(
     EngineTimes times, Clock clock, Epoch epoch, WorkerOrders &orders, std::function<void()> requestStorage)
     : m_times(times)
@@ -205,30 +236,75 @@
     }
 }
 
-void JobEngine::addRowsOf(Job &job, EngineBatch &batch)
+bool JobEngine::addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now)
 {
     const JobId &id = job.spec.id;
-    const bool over = isFinal(job.state) && !job.anyAssigned();
     if (job.stateDirty) {
-        const StateRecord record{job.state, job.spec.queue, job.spec.organisation, m_clock.wallNow()};
-        batch.written.push_back({StatesTable, id.value(), encodeState(record), {}, false});
+        // An occurrence of a failed job says so, so it must not be stored later than the state.
+        if (!batch.hasRoom(limits, StateRows + 1, MaximumStateBytes + limits.rowBytes)) {
+            return false;
+        }
+        const StateRecord record{job.state, job.spec.queue, job.spec.organisation, now};
+        batch.write({StatesTable, id.value(), encodeState(record), {}, false});
         batch.removed.push_back({WaitingTable, waitingKey(job.spec.queue, id)});
         job.stateDirty = false;
     }
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
         Occurrence &occurrence = job.occurrences[k];
-        if (over) {
-            batch.removed.push_back({ProgressTable, progressKey(id, k)});
-        } else if (occurrence.dirty) {
-            batch.written.push_back({ProgressTable, progressKey(id, k), encodeOccurrence(job.record(k)), {}, false});
+        if (!occurrence.dirty) {
+            continue;
         }
-        occurrence.dirty = false;
+        std::string value = encodeOccurrenceWithin(limits.rowBytes, job.record(k), id);
+        if (!batch.hasRoom(limits, 1, value.size())) {
+            return false;
+        }
+        batch.write({ProgressTable, progressKey(id, k), std::move(value), {}, false});
         batch.starts.insert(batch.starts.end(), occurrence.pendingStarts.begin(), occurrence.pendingStarts.end());
         occurrence.pendingStarts.clear();
+        occurrence.dirty = false;
+        occurrence.stored = true;
+    }
+    return true;
+}
+
+bool JobEngine::addEndOf(Job &job, const ChangeLimits &limits, EngineBatch &batch)
+{
+    const JobId id = job.spec.id;
+    if (!batch.hasRoom(limits, StateRows + EndRows, MaximumStateBytes)) {
+        return false;
     }
-    if (over) {
-        batch.removed.push_back({JobsTable, id.value()});
-        batch.removed.push_back({JobsTable, cancelKey(id)});
+    if (job.stateDirty) {
+        const StateRecord record{job.state, job.spec.queue, job.spec.organisation, m_clock.wallNow()};
+        batch.write({StatesTable, id.value(), encodeState(record), {}, false});
+        batch.removed.push_back({WaitingTable, waitingKey(job.spec.queue, id)});
+    }
+    // Without the row of the job its progress has no effect any more, so that may be removed later.
+    batch.removed.push_back({JobsTable, id.value()});
+    batch.removed.push_back({JobsTable, cancelKey(id)});
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        if (job.occurrences[k].stored) {
+            m_leftoverProgress.push_back(progressKey(id, k));
+        }
+    }
+    m_endedJobs[id] = m_clock.now();
+    m_advice.forget(id);
+    m_jobs.erase(id);
+    return true;
+}
+
+void JobEngine::removeProgress(const JobId &id, const std::map<std::size_t, OccurrenceRecord> &progress)
+{
+    logEvent(LogLevel::Info, "progress-left-over", {{"job", id}, {"occurrences", progress.size()}, {"epoch", m_epoch}});
+    for (const auto &[occurrence, record] : progress) {
+        m_leftoverProgress.push_back(progressKey(id, occurrence));
+    }
+}
+
+void JobEngine::removeLeftoverProgress(const ChangeLimits &limits, EngineBatch &batch)
+{
+    while (!m_leftoverProgress.empty() && batch.hasRoom(limits, 1, 0)) {
+        batch.removed.push_back({ProgressTable, std::move(m_leftoverProgress.back())});
+        m_leftoverProgress.pop_back();
     }
 }
 
@@ -241,27 +317,21 @@
     std::erase_if(m_endedJobs, [this, now](const auto &each) { return now - each.second > m_times.endedJobRetention; });
 }
 
-EngineBatch JobEngine::takeBatch(std::size_t fullBatchRows)
+EngineBatch JobEngine::takeBatch(const ChangeLimits &limits)
 {
     EngineBatch batch;
-    while (!m_dirtyJobs.empty() && batch.written.size() + batch.removed.size() < fullBatchRows) {
+    while (!m_dirtyJobs.empty()) {
         const JobId id = *m_dirtyJobs.begin();
-        m_dirtyJobs.erase(m_dirtyJobs.begin());
-        const auto found = m_jobs.find(id);
-        if (found == m_jobs.end()) {
-            continue;
-        }
-        Job &job = found->second;
-        addRowsOf(job, batch);
-        if (isFinal(job.state) && !job.anyAssigned()) {
-            m_endedJobs[id] = m_clock.now();
-            m_advice.forget(id);
-            m_jobs.erase(found);
+        if (Job *job = findJob(id)) {
+            const bool over = isFinal(job->state) && !job->anyAssigned();
+            const bool added = over ? addEndOf(*job, limits, batch) : addRowsOf(*job, limits, batch, m_clock.wallNow());
+            if (!added) {
+                return batch;
+            }
         }
+        m_dirtyJobs.erase(id);
     }
-    if (!m_dirtyJobs.empty()) {
-        return batch;
-    }
+    removeLeftoverProgress(limits, batch);
     for (const WorkerId &id : m_workersWithUnstoredEnds) {
         if (const Worker *worker = m_workers.find(id)) {
             batch.processedEnds[id] = {worker->report.incarnation, worker->lastProcessedEnd};
@@ -314,7 +384,7 @@
         sendDueStops(worker, now);
         sendDueHold(worker, now);
     }
-    if (!m_dirtyJobs.empty() || !m_workersWithUnstoredEnds.empty()) {
+    if (!m_dirtyJobs.empty() || !m_workersWithUnstoredEnds.empty() || !m_leftoverProgress.empty()) {
         m_requestStorage();
     }
 }
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -67,7 +67,11 @@
 
 bool restoreOccurrence(Job &job, std::size_t occurrence, const OccurrenceRecord &record)
 {
-    if (occurrence >= job.occurrences.size() || record.steps.size() != job.spec.steps.size()) {
+    if (occurrence >= job.occurrences.size()) {
+        return false;
+    }
+    job.occurrences[occurrence].stored = true;
+    if (record.steps.size() != job.spec.steps.size()) {
         return false;
     }
     for (std::size_t step = 0; step < record.steps.size(); ++step) {
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/** Number of rows at which a batch is full. A transaction of the platform has at most 100 entries; the last job of
-    a batch may add several rows beyond FullBatchRows. */
-constexpr std::size_t FullBatchRows = 60;
-
 /** Nothing is placed before discovery was read again after an outage of the store, so a call that got no answer must
    not delay the next one for long. A store that is 70 times slower still answers within 300 ms. */
 constexpr Duration DiscoveryCallTimeout = std::chrono::milliseconds(500);
@@ -67,7 +63,7 @@
               store,
               {/*won=*/[this](Epoch epoch) { startTerm(epoch); },
                /*lost=*/[this](const std::string &reason) { endTerm(reason); },
-               /*nextChange=*/[this] { return nextChange(); },
+               /*nextChange=*/[this](const ChangeLimits &limits) { return nextChange(limits); },
                /*changeStored=*/[this] { changeStored(); },
                /*confirmed=*/
                [this](MonotonicTime sentAt) {
@@ -204,6 +200,7 @@
         return;
     }
     m_restored = true;
+    removeProgressWithoutJob(rows);
     m_progress.clear();
     logEvent(LogLevel::Info,
              "state-restored",
@@ -230,6 +227,19 @@
     m_workersFollower->start();
 }
 
+void OwnerController::removeProgressWithoutJob(const std::vector<Row> &jobRows)
+{
+    std::set<JobId> open;
+    for (const Row &row : jobRows) {
+        open.insert(JobId(row.key));
+    }
+    for (const auto &[id, progress] : m_progress) {
+        if (open.count(id) == 0) {
+            m_engine->removeProgress(id, progress);
+        }
+    }
+}
+
 void OwnerController::handleChangedJobRows(const std::vector<Row> &rows)
 {
     if (!m_engine) {
@@ -292,12 +302,12 @@
     m_engine->step();
 }
 
-std::optional<RowChange> OwnerController::nextChange()
+std::optional<RowChange> OwnerController::nextChange(const ChangeLimits &limits)
 {
     if (!m_engine || !m_restored) {
         return std::nullopt;
     }
-    EngineBatch batch = m_engine->takeBatch(FullBatchRows);
+    EngineBatch batch = m_engine->takeBatch(limits);
     if (batch.written.empty() && batch.removed.empty()) {
         if (!batch.processedEnds.empty()) {
             m_engine->batchStored(batch);
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -6,6 +6,33 @@
 
 namespace coriander::workflow {
 
+namespace {
+
+/** Entries of each write for the row of the term: an expectation and a written row. */
+constexpr std::size_t TermEntries = 2;
+/** More than the size of an encoded TermRecord. */
+constexpr std::size_t TermBytes = 1000;
+
+/** Limits of a change that is stored together with the row of the term. */
+ChangeLimits limitsBesideTerm()
+{
+    ChangeLimits limits;
+    limits.entries -= TermEntries;
+    limits.valueBytes -= TermBytes;
+    return limits;
+}
+
+std::size_t valueBytes(const RowChange &change)
+{
+    std::size_t bytes = 0;
+    for (const Row &row : change.written) {
+        bytes += row.value.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
 TermChain::TermChain(TermTimes times, Clock clock, InstanceId instance, RowStore &store, Hooks hooks)
     : m_times(times)
     , m_clock(std::move(clock))
@@ -74,7 +101,7 @@
         startWrite({}, false);
         return;
     }
-    std::optional<RowChange> change = m_hooks.nextChange();
+    std::optional<RowChange> change = m_hooks.nextChange(limitsBesideTerm());
     if (change) {
         startWrite(std::move(*change), true);
         return;
@@ -256,6 +283,8 @@
              {{"epoch", m_writtenRecord.epoch},
               {"sequence", m_writtenRecord.sequence},
               {"unknown", result.outcome == ChangeOutcome::Unknown},
+              {"entries", m_write->expected.size() + m_write->written.size() + m_write->removed.size()},
+              {"bytes", valueBytes(*m_write)},
               {"reason", result.reason}});
 }
 
--- a/unittests/Workflow/DrainTest.cpp
+++ b/unittests/Workflow/DrainTest.cpp
@@ -110,7 +110,7 @@
 {
     submitGang("gang", 6, seconds(1));
     m_harness.engine->step();
-    const EngineBatch batch = m_harness.engine->takeBatch(60);
+    const EngineBatch batch = m_harness.engine->takeBatch(ChangeLimits());
     ASSERT_EQ(batch.starts.size(), 6U);
     WorkerReport report = m_harness.workers.machines().at(batch.starts.front().first).report;
     report.draining = true;
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -81,7 +81,7 @@
         for (int step = 1; step < 60; ++step) {
             timeline.after(milliseconds(50 * step), [old] {
                 old->step();
-                old->takeBatch(60);
+                old->takeBatch(batchLimits());
             });
         }
     }
@@ -172,18 +172,39 @@
         if (batch || store.isUnreachable) {
             return;
         }
-        batch = engine->takeBatch(60);
+        batch = engine->takeBatch(batchLimits());
         if (batch->empty()) {
             batch.reset();
             return;
         }
+        storeBatch();
+    }
+
+    /** Limits of a batch; the row of the term, which is stored with it, takes an expectation and a written row. */
+    static ChangeLimits batchLimits()
+    {
+        ChangeLimits limits;
+        limits.entries -= 2;
+        return limits;
+    }
+
+    /** Stores the batch with the row of the term; a refused batch is sent again, as by TermChain. */
+    void storeBatch()
+    {
         timeline.after(milliseconds(8), [this, owner = epoch] {
             if (!engine || epoch != owner || !batch) {
                 return;
             }
-            const EngineBatch stored = *std::exchange(batch, std::nullopt);
-            store.apply({{}, stored.written, stored.removed});
-            engine->batchStored(stored);
+            const Row *term = store.find(OwnerTable, OwnerKey);
+            RowChange change{{{OwnerTable, OwnerKey, term == nullptr ? RowVersion(0) : term->version}},
+                             batch->written,
+                             batch->removed};
+            change.written.push_back({OwnerTable, OwnerKey, "", {}, false});
+            if (store.apply(change).outcome != ChangeOutcome::Committed) {
+                storeBatch();
+                return;
+            }
+            engine->batchStored(*std::exchange(batch, std::nullopt));
         });
     }
 
@@ -208,6 +229,20 @@
                 engine->cancelJob(*job);
             }
         }
+        removeProgressWithoutJob();
+    }
+
+    void removeProgressWithoutJob()
+    {
+        for (const auto &[name, row] : store.rows) {
+            const std::size_t dot = name.second.rfind('.');
+            if (name.first != ProgressTable || store.find(JobsTable, name.second.substr(0, dot)) != nullptr) {
+                continue;
+            }
+            ProtocolError error;
+            engine->removeProgress(JobId(name.second.substr(0, dot)),
+                                   {{std::stoul(name.second.substr(dot + 1)), *decodeOccurrence(row.value, error)}});
+        }
     }
 };
 
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -39,6 +39,8 @@
     std::size_t rowsPerPage = 500;
     /** Number of calls of change() so far. */
     std::size_t changes = 0;
+    /** Number of changes so far that exceed the limits of the store. */
+    std::size_t refusedChanges = 0;
 
     std::map<std::pair<std::string, std::string>, Row> rows;
 
@@ -48,9 +50,35 @@
         return found == rows.end() ? nullptr : &found->second;
     }
 
+    /** Why the store refuses the change, each time it is sent; empty if it does not. */
+    static std::string refusalOf(const RowChange &change)
+    {
+        constexpr std::size_t MaximumEntries = 100;
+        constexpr std::size_t MaximumRowBytes = 65536;
+        constexpr std::size_t MaximumBytes = 1000000;
+        if (change.expected.size() + change.written.size() + change.removed.size() > MaximumEntries) {
+            return "the store answered 400: too many entries";
+        }
+        std::size_t bytes = 0;
+        for (const Row &row : change.written) {
+            if (row.value.size() > MaximumRowBytes) {
+                return "the store answered 400: the row " + row.key + " is too large";
+            }
+            // Values are sent as base64.
+            bytes += row.value.size() * 4 / 3;
+        }
+        return bytes > MaximumBytes ? "the store answered 400: the change is too large" : "";
+    }
+
     ChangeResult apply(const RowChange &change)
     {
         ChangeResult result;
+        if (const std::string refusal = refusalOf(change); !refusal.empty()) {
+            ++refusedChanges;
+            result.outcome = ChangeOutcome::NotDone;
+            result.reason = refusal;
+            return result;
+        }
         for (const RowExpectation &each : change.expected) {
             const Row *row = find(each.table, each.key);
             if ((row == nullptr ? RowVersion() : row->version) != each.version) {
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -216,6 +216,8 @@
     /** Called on every accepted start; may be empty. */
     std::function<void(const TaskKey &, std::int64_t run)> onStart;
     OrderFaults faults;
+    /** Checkpoint that every run reports; empty for none. */
+    std::string checkpoint;
     /** Number of runs that a stop has ended so far. */
     std::size_t stopped = 0;
 
@@ -500,7 +502,7 @@
         std::erase_if(machine->ended,
                       [&order](const EndedTask &ended) { return ended.number <= order.acknowledgedThrough; });
         for (const auto &[key, run] : machine->runs) {
-            answer.running.push_back({key.first, key.second, "", percentOf(*machine, key)});
+            answer.running.push_back({key.first, key.second, checkpoint, percentOf(*machine, key)});
         }
         answer.ended = machine->ended;
         return answer;
--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -20,7 +20,7 @@
                   store,
                   {[this](Epoch epoch) { wonEpochs.push_back(epoch); },
                    [this](const std::string &) { m_writing.reset(); },
-                   [this]() -> std::optional<RowChange> {
+                   [this](const ChangeLimits &) -> std::optional<RowChange> {
                        if (!writes) {
                            return std::nullopt;
                        }
