Workflow: a full list of ends says nothing about runs it leaves out

Cause: a run that was neither among the running ones nor among the ends of a worker's answer was taken for one that does not exist, and its task was started again. An answer lists at most 500 ends, the oldest first; the worker may forget ends only when they are stored, so during the outage the other 140 were not visible.

The line ends-incomplete shows such an answer.

Why this works: the adapter marks an answer whose list of ends is full, and the engine concludes nothing from it about runs that it does not list. Once the listed ends are stored the worker forgets them and lists the next ones.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -120,9 +120,9 @@
  * Schedules the jobs of one term: keeps track of waiting jobs and of runs on workers, places tasks and sends orders.
  * A start is sent only after the assignment is stored. A worker may forget an end only after its effect is stored.
  *
- * A run is treated as existing until one of these holds: the worker lists its end; the worker confirmed a stop and no
- * longer lists the run; the worker's incarnation is gone; all leases of the worker have certainly ended. Only then may
- * the task run again.
+ * A run is treated as existing until one of these holds: the worker lists its end; the worker confirmed a stop and
+ * lists neither the run nor its end, and all its ends; the worker's incarnation is gone; all leases of the worker have
+ * certainly ended. Only then may the task run again.
  *
  * Thread safety: only on the thread of the event loop. Completions of orders that arrive after destruction are
  * ignored.
--- a/include/corianderscale/Workflow/WorkerMessages.h
+++ b/include/corianderscale/Workflow/WorkerMessages.h
@@ -125,7 +125,10 @@
 struct HoldAnswer : OrderAnswer {
     std::optional<Incarnation> incarnation;
     std::vector<RunningTask> running;
+    /** The oldest ends that the worker was not told to forget. */
     std::vector<EndedTask> ended;
+    /** Whether the worker may have more ends than it lists; it lists them once it may forget earlier ones. */
+    bool moreEnds = false;
 };
 
 using OrderDone = std::function<void(const OrderAnswer &)>;
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -346,6 +346,17 @@
 {
     const MonotonicTime now = m_clock.now();
     const MonotonicTime sentAt = worker.holdSentAt;
+    if (answer.moreEnds) {
+        // A run in neither list may have ended; its end is listed after earlier ones are stored and forgotten.
+        logEvent(LogLevel::Info,
+                 "ends-incomplete",
+                 {{"worker", worker.report.id},
+                  {"listed", answer.ended.size()},
+                  {"processed", worker.lastProcessedEnd},
+                  {"stored", worker.lastStoredEnd},
+                  {"runs", worker.runs.size()}});
+        return;
+    }
     std::set<RunKey> running;
     for (const RunningTask &each : answer.running) {
         running.emplace(each.task, each.run);
--- a/unittests/Platform/MessagesTest.cpp
+++ b/unittests/Platform/MessagesTest.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -181,6 +182,21 @@
     EXPECT_EQ(decodeHoldAnswer(response(200, R"({"running":[[1]]})"), {}).outcome, OrderOutcome::Unknown);
 }
 
+// Guards against an answer with as many ends as fit that is taken for the list of all ends.
+TEST(WorkerClient, fullListOfEndsMayBeIncomplete)
+{
+    const auto answerWith = [](int ends) {
+        std::string rows;
+        for (int i = 1; i <= ends; ++i) {
+            rows += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.0.{}",1,"done",""])", i == 1 ? "" : ",", i, i);
+        }
+        return decodeHoldAnswer(response(200, R"({"running":[],"ended":[)" + rows + "]}"), {});
+    };
+    EXPECT_FALSE(answerWith(499).moreEnds);
+    EXPECT_TRUE(answerWith(500).moreEnds);
+    EXPECT_EQ(answerWith(500).ended.size(), 500U);
+}
+
 // Guards against orders that are encoded without the epoch, the lease or the checkpoint.
 TEST(WorkerClient, ordersAreWrittenInTheWorkersFormat)
 {
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -504,7 +504,9 @@
         for (const auto &[key, run] : machine->runs) {
             answer.running.push_back({key.first, key.second, checkpoint, percentOf(*machine, key)});
         }
-        answer.ended = machine->ended;
+        const std::size_t listed = std::min(machine->ended.size(), MaximumListedEnds);
+        answer.ended.assign(machine->ended.begin(), machine->ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        answer.moreEnds = listed == MaximumListedEnds;
         return answer;
     }
 
@@ -535,6 +537,8 @@
 public:
     static constexpr int MaximumAttempts = 3;
     static constexpr std::int64_t LongestLeaseMs = 10000;
+    /** Maximum number of ends in one answer; the oldest ones are listed first. */
+    static constexpr std::size_t MaximumListedEnds = 500;
 
 private:
     Timeline &m_timeline;
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -193,6 +193,73 @@
     EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
 }
 
+/** A job of many small tasks that all run on one worker and end at the same time. */
+class ManyEnds : public Engine
+{
+protected:
+    ManyEnds()
+    {
+        StepSpec step = stepOf(Tasks, 0, 0);
+        step.perTask = {MilliCores(20), MemoryMib(16), Accelerators(0)};
+        m_harness.submit(m_harness.job("many", 1, {step}), {.work = seconds(3)});
+        m_harness.runFor(seconds(1));
+        std::size_t most = 0;
+        for (const auto &[id, machine] : m_harness.workers.machines()) {
+            most = std::max(most, machine.runs.size());
+        }
+        EXPECT_GT(most, FakeWorkers::MaximumListedEnds) << "the tasks are spread over too many workers";
+    }
+
+    void expectEachTaskRanOnce()
+    {
+        EXPECT_EQ(m_harness.storedState(JobId("many")), JobState::Completed);
+        std::size_t repeated = 0;
+        for (std::size_t i = 0; i < Tasks; ++i) {
+            repeated += m_harness.workers.starts(task("many", 0, i)) > 1 ? 1 : 0;
+        }
+        EXPECT_EQ(repeated, 0U) << "tasks ran again after they had ended";
+    }
+
+    static constexpr std::size_t Tasks = 1200;
+};
+
+// Guards against tasks that run again because their ends do not fit into the worker's answer: more than 500 ends wait
+// while the store is down.
+TEST_F(ManyEnds, endsBeyondOneAnswerWaitForTheStore)
+{
+    m_harness.store.isUnreachable = true;
+    m_harness.runFor(milliseconds(4500));
+    m_harness.store.isUnreachable = false;
+    m_harness.runFor(seconds(10));
+    expectEachTaskRanOnce();
+}
+
+// The same while there is no owner; the next one does not know the runs from orders of its own.
+TEST_F(ManyEnds, endsBeyondOneAnswerWaitForTheNextOwner)
+{
+    m_harness.endOwner(false);
+    m_harness.runFor(milliseconds(3500));
+    m_harness.startOwner();
+    m_harness.runFor(seconds(10));
+    expectEachTaskRanOnce();
+}
+
+// The same for runs whose stop the worker has confirmed: an end beyond the answer may say that the task is done.
+TEST_F(ManyEnds, endsBeyondOneAnswerOutlastADrain)
+{
+    m_harness.store.isUnreachable = true;
+    m_harness.runFor(milliseconds(2500));
+    for (auto &[id, machine] : m_harness.workers.machines()) {
+        machine.report.draining = true;
+        machine.report.minimumTimeToLeave = milliseconds(500);
+        m_harness.report(id);
+    }
+    m_harness.runFor(milliseconds(2000));
+    m_harness.store.isUnreachable = false;
+    m_harness.runFor(seconds(10));
+    expectEachTaskRanOnce();
+}
+
 // Guards against an owner that continues after a worker has seen the epoch of a later owner.
 TEST_F(Engine, ownerNoticesThatItIsSuperseded)
 {
