Workflow: a job whose queue is not configured keeps its attempts

Cause: maximumAttempts() returned 1 for a job whose queue is not in the present configuration.

Three of the tests RemovedQueue.* failed before. The fourth passed, as the job failed at once; it keeps a job without attempts left from being started again.

Why this works: while the queue is missing the number of attempts is not known, so failures are counted and stored and the job waits. When a configuration has the queue, or an owner restores the job, a job without attempts left fails before anything of it is started.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -234,7 +234,11 @@
     void removeLeftoverProgress(const ChangeLimits &limits, EngineBatch &batch);
     void forgetEndedJobs(MonotonicTime now);
     Job *findJob(const JobId &id);
-    int maximumAttempts(const Job &job) const;
+    /** Number of failed runs of a task after which its job fails; no value while the queue of the job is not in the
+     * configuration. */
+    std::optional<int> maximumAttempts(const Job &job) const;
+    /** Fails the job if a task that waits has no attempts left, which may become known only when its queue is back. */
+    void failIfOutOfAttempts(Job &job);
 
     // JobEngineRuns.cpp
     void runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint);
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -63,6 +63,9 @@
 {
     m_catalogue = std::move(catalogue);
     m_planWanted = true;
+    for (auto &[id, job] : m_jobs) {
+        failIfOutOfAttempts(job);
+    }
 }
 
 Job *JobEngine::findJob(const JobId &id)
@@ -71,10 +74,32 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
-int JobEngine::maximumAttempts(const Job &job) const
+std::optional<int> JobEngine::maximumAttempts(const Job &job) const
 {
     const QueueSpec *queue = m_catalogue ? m_catalogue->queue(job.spec.queue) : nullptr;
-    return queue == nullptr ? 1 : queue->maximumAttempts;
+    return queue == nullptr ? std::nullopt : std::optional(queue->maximumAttempts);
+}
+
+void JobEngine::failIfOutOfAttempts(Job &job)
+{
+    const std::optional<int> most = maximumAttempts(job);
+    if (!most || isFinal(job.state)) {
+        return;
+    }
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+            const std::vector<Task> &tasks = job.occurrences[k].steps[s];
+            const auto spent = std::find_if(tasks.begin(), tasks.end(), [&most](const Task &task) {
+                return task.phase == TaskPhase::Waiting && task.failures >= *most;
+            });
+            if (!job.spec.steps[s].longRunning && spent != tasks.end()) {
+                const TaskKey key{job.spec.id, k, s, static_cast<std::size_t>(spent - tasks.begin())};
+                markDirty(key);
+                failJob(job, key);
+                return;
+            }
+        }
+    }
 }
 
 void JobEngine::restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress)
@@ -127,6 +152,7 @@
              "job-restored",
              {{"job", id}, {"state", jobStateName(job.state)}, {"epoch", m_epoch}, {"occurrences", progress.size()}});
     completeIfDone(job);
+    failIfOutOfAttempts(job);
     if (isFinal(job.state)) {
         stopJob(job);
         m_dirtyJobs.insert(id);
@@ -218,7 +244,7 @@
              {{"job", job.spec.id},
               {"task", toString(task)},
               {"failures", job.task(task).failures},
-              {"most_attempts", maximumAttempts(job)}});
+              {"most_attempts", maximumAttempts(job).value_or(0)}});
     stopJob(job);
 }
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -285,7 +285,8 @@
 
 bool JobEngine::waitsForProof(const Job &job, const Task &task, MonotonicTime now) const
 {
-    return m_waveInPass && task.lastFailureAt && task.failures + 1 >= maximumAttempts(job)
+    const std::optional<int> most = maximumAttempts(job);
+    return m_waveInPass && task.lastFailureAt && most && task.failures + 1 >= *most
         && decision::shouldWaitForProof(now - *task.lastFailureAt, m_usedShare);
 }
 
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -109,7 +109,8 @@
         task.failures = failures;
         task.lastFailedRun = run;
     }
-    if (!step.longRunning && failures >= maximumAttempts(job)) {
+    const std::optional<int> most = maximumAttempts(job);
+    if (!step.longRunning && most && failures >= *most) {
         failJob(job, key);
     }
 }
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -193,6 +193,91 @@
     EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
 }
 
+/** A job whose queue is removed from the configuration and added again. */
+class RemovedQueue : public Engine
+{
+protected:
+    /** The configuration without the queue q1. */
+    std::shared_ptr<const Catalogue> withoutQueue() const
+    {
+        auto reduced = std::make_shared<Catalogue>(*m_harness.catalogue);
+        std::erase_if(reduced->queues, [](const QueueSpec &queue) { return queue.name == QueueName("q1"); });
+        reduced->index();
+        return reduced;
+    }
+
+    /** Replaces the owner; the next one begins with the configuration @p catalogue. */
+    void replaceOwner(std::shared_ptr<const Catalogue> catalogue)
+    {
+        const auto complete = std::exchange(m_harness.catalogue, std::move(catalogue));
+        m_harness.endOwner(false);
+        m_harness.startOwner();
+        m_harness.catalogue = complete;
+    }
+
+    std::size_t startsOf(const std::string &job) const
+    {
+        return m_harness.workers.starts(task(job, 0, 0));
+    }
+};
+
+// Guards against a job that is failed after one failed run because its queue, and with it the number of attempts, was
+// removed from the configuration for a while.
+TEST_F(RemovedQueue, failedRunMeanwhileLeavesTheOtherAttempts)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(4), .failures = 1});
+    m_harness.runFor(seconds(1));
+    m_harness.engine->setCatalogue(withoutQueue());
+    m_harness.runFor(seconds(4));
+    EXPECT_EQ(startsOf("j"), 1U) << "started without a queue";
+    m_harness.engine->setCatalogue(m_harness.catalogue);
+    m_harness.runFor(seconds(6));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
+}
+
+// The same when the owner that saw the failure is replaced, before the queue is added again.
+TEST_F(RemovedQueue, failedRunMeanwhileLeavesTheOtherAttemptsToTheNextOwner)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(4), .failures = 1});
+    m_harness.runFor(seconds(1));
+    replaceOwner(withoutQueue());
+    m_harness.runFor(seconds(4));
+    m_harness.engine->setCatalogue(m_harness.catalogue);
+    m_harness.runFor(seconds(6));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
+}
+
+// Guards against a start beyond the number of attempts: the last attempt fails while the queue is removed.
+TEST_F(RemovedQueue, jobWithoutAttemptsLeftFailsWhenTheQueueIsBack)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(2), .failures = 100});
+    for (int i = 0; i < 1000 && startsOf("j") < 3; ++i) {
+        m_harness.runFor(milliseconds(10));
+    }
+    m_harness.engine->setCatalogue(withoutQueue());
+    m_harness.runFor(seconds(3));
+    EXPECT_NE(m_harness.storedState(JobId("j")), JobState::Failed);
+    m_harness.engine->setCatalogue(m_harness.catalogue);
+    m_harness.runFor(seconds(3));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Failed);
+    EXPECT_EQ(startsOf("j"), 3U);
+}
+
+// The same when the next owner restores the job with the queue.
+TEST_F(RemovedQueue, jobWithoutAttemptsLeftFailsAtTheNextOwner)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(2), .failures = 100});
+    for (int i = 0; i < 1000 && startsOf("j") < 3; ++i) {
+        m_harness.runFor(milliseconds(10));
+    }
+    m_harness.engine->setCatalogue(withoutQueue());
+    m_harness.runFor(seconds(3));
+    replaceOwner(m_harness.catalogue);
+    m_harness.runFor(seconds(3));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Failed);
+    EXPECT_EQ(startsOf("j"), 3U);
+}
+
 /** A job of many small tasks that all run on one worker and end at the same time. */
 class ManyEnds : public Engine
 {
