Workflow: a cancel holds for a submission that takes effect later

Cause: a cancel of a job without a row wrote nothing, so the condition of the late submission, no row, still held.

Why this works: the cancel stores a row that the job is withdrawn, on the condition that there is none, and is answered when that is stored. Either that row or the submission is first: a later submission conflicts, an earlier one makes the cancel start over. The row is not shown as a job and is removed like those of ended jobs. An unreadable state is now refused instead of answered as unknown.

Test changed: Intake.cancelNeedsAnOpenJob cancelled the id of its job before submitting it and expected that the job was then accepted as if nothing had been asked, which is the fault. It uses another id for the unknown job, and checks in addition that no cancel request is stored for it.

--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -93,6 +93,8 @@
 
     /** Stores a job; answers by @p deadline at the latest. Precondition: the job is valid, see checkJob(). */
     void submit(const JobSpec &job, MonotonicTime deadline, CallDone done);
+    /** Cancels a job, also one whose submission is still under way: after any answer but Refused and Unclear nothing of
+     * it is started. NoSuchJob means that no submission had taken effect, and none will. */
     void cancel(const JobId &job, MonotonicTime deadline, CallDone done);
     void show(const JobId &job, MonotonicTime deadline, CallDone done);
     void countWaiting(const QueueName &queue, MonotonicTime deadline, CallDone done);
@@ -100,6 +102,11 @@
 private:
     struct Write;
 
+    std::shared_ptr<Write> makeWrite(const char *event, const JobId &job, MonotonicTime deadline, CallDone done) const;
+    /** Stores a job that was cancelled before; @p withdrawn is the version of its state. */
+    void storeAsCancelled(const JobSpec &job, RowVersion withdrawn, MonotonicTime deadline, CallDone done);
+    /** Stores that a job is cancelled which has no row, because its submission may still take effect. */
+    void withdraw(const JobId &job, MonotonicTime deadline, const CallDone &done);
     /** Counts the waiting jobs of a queue from the key @p from on; adds them to @p counted. */
     void countWaitingFrom(
         const std::string &from, const QueueName &queue, std::size_t counted, MonotonicTime deadline, CallDone done);
--- a/include/corianderscale/Workflow/Records.h
+++ b/include/corianderscale/Workflow/Records.h
@@ -61,6 +61,9 @@
     OrganisationId organisation;
     /** When the job entered the state. */
     WallTime since;
+    /** Whether the job was cancelled before it was stored. The row keeps a submission that is still under way from
+     * taking effect; the job is not shown. */
+    bool withdrawn = false;
 };
 
 enum class TaskPhase {
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t MaximumPayloadBytes = 4000;
 constexpr std::size_t MaximumOccurrences = 1000;
 
+CallAnswer noSuchJob()
+{
+    return {CallOutcome::NoSuchJob, "no such job", {}, {}, {}};
+}
+
 std::optional<std::string> checkStep(const JobSpec &job, std::size_t index)
 {
     const StepSpec &step = job.steps[index];
@@ -141,8 +146,11 @@
     MonotonicTime deadline;
     MonotonicTime startedAt;
     CallDone done;
-    /** Called after a conflict to start over. If empty, a conflict means that an earlier write took effect. */
-    std::function<void()> onConflict;
+    /** The answer once the write is stored. */
+    CallAnswer success;
+    /** Called after a conflict with the current rows; returns whether the call starts over and answers by itself. If
+     * empty, or if it returns false, an earlier write took effect. */
+    std::function<bool(const std::vector<Row> &)> startOver;
     /** Whether an earlier attempt may have taken effect. */
     bool unclear = false;
     int attempts = 0;
@@ -161,19 +169,46 @@
     return std::clamp(deadline - m_clock.now(), Duration(std::chrono::milliseconds(1)), m_times.storeCallTimeout);
 }
 
-void JobIntake::submit(const JobSpec &job, MonotonicTime deadline, CallDone done)
+std::shared_ptr<JobIntake::Write> JobIntake::makeWrite(const char *event,
+                                                       const JobId &job,
+                                                       MonotonicTime deadline,
+                                                       CallDone done) const
 {
     const auto write = std::make_shared<Write>();
-    write->event = "job-submitted";
-    write->job = job.id;
+    write->event = event;
+    write->job = job;
     write->deadline = deadline;
     write->startedAt = m_clock.now();
     write->done = std::move(done);
+    return write;
+}
+
+void JobIntake::submit(const JobSpec &job, MonotonicTime deadline, CallDone done)
+{
+    const auto write = makeWrite("job-submitted", job.id, deadline, done);
     const StateRecord state{JobState::Queued, job.queue, job.organisation, job.acceptedAt};
     write->change.expected = {{StatesTable, job.id.value(), RowVersion(0)}};
     write->change.written = {{JobsTable, job.id.value(), encodeJob(job), {}, false},
                              {StatesTable, job.id.value(), encodeState(state), {}, false},
                              {WaitingTable, waitingKey(job.queue, job.id), "", {}, false}};
+    write->startOver = [this, job, deadline, done = std::move(done)](const std::vector<Row> &current) {
+        ProtocolError error;
+        const auto record = current.empty() ? std::nullopt : decodeState(current.front().value, error);
+        if (!record || !record->withdrawn) {
+            return false;
+        }
+        storeAsCancelled(job, current.front().version, deadline, done);
+        return true;
+    };
+    send(write);
+}
+
+void JobIntake::storeAsCancelled(const JobSpec &job, RowVersion withdrawn, MonotonicTime deadline, CallDone done)
+{
+    const auto write = makeWrite("withdrawn-job-submitted", job.id, deadline, std::move(done));
+    const StateRecord state{JobState::Cancelled, job.queue, job.organisation, m_clock.wallNow()};
+    write->change.expected = {{StatesTable, job.id.value(), withdrawn}};
+    write->change.written = {{StatesTable, job.id.value(), encodeState(state), {}, false}};
     send(write);
 }
 
@@ -184,32 +219,51 @@
             done({CallOutcome::Refused, error.reason, m_times.retryAfter, {}, {}});
             return;
         }
+        if (page->rows.empty()) {
+            withdraw(job, deadline, done);
+            return;
+        }
         ProtocolError decodeError;
-        const auto record = page->rows.empty() ? std::nullopt : decodeState(page->rows.front().value, decodeError);
+        const auto record = decodeState(page->rows.front().value, decodeError);
         if (!record) {
-            done({CallOutcome::NoSuchJob, "no such job", {}, {}, {}});
+            done({CallOutcome::Refused, decodeError.reason, m_times.retryAfter, {}, {}});
+            return;
+        }
+        if (record->withdrawn) {
+            done(noSuchJob());
             return;
         }
         if (isFinal(record->state)) {
             done({CallOutcome::Done, jobStateName(record->state), {}, record->state, {}});
             return;
         }
-        const auto write = std::make_shared<Write>();
-        write->event = "cancel-requested";
-        write->job = job;
-        write->deadline = deadline;
-        write->startedAt = m_clock.now();
-        write->done = done;
+        const auto write = makeWrite("cancel-requested", job, deadline, done);
         write->change.expected = {{StatesTable, job.value(), page->rows.front().version}};
         write->change.written = {{JobsTable, cancelKey(job), "", {}, false}};
-        write->onConflict = [this, job, deadline, done] {
+        write->startOver = [this, job, deadline, done](const std::vector<Row> &) {
             cancel(job, deadline, done);
+            return true;
         };
         send(write);
     };
     m_store.read(StatesTable, job.value(), keyAfter(job.value()), timeoutUntil(deadline), forward);
 }
 
+void JobIntake::withdraw(const JobId &job, MonotonicTime deadline, const CallDone &done)
+{
+    const auto write = makeWrite("job-withdrawn", job, deadline, done);
+    write->success = noSuchJob();
+    const StateRecord state{JobState::Cancelled, {}, {}, m_clock.wallNow(), true};
+    write->change.expected = {{StatesTable, job.value(), RowVersion(0)}};
+    write->change.written = {{StatesTable, job.value(), encodeState(state), {}, false}};
+    // The submission, or an earlier sending of this write, took effect meanwhile.
+    write->startOver = [this, job, deadline, done](const std::vector<Row> &) {
+        cancel(job, deadline, done);
+        return true;
+    };
+    send(write);
+}
+
 void JobIntake::send(const std::shared_ptr<Write> &write)
 {
     ++write->attempts;
@@ -226,16 +280,18 @@
 void JobIntake::finish(const std::shared_ptr<Write> &write, const ChangeResult &result)
 {
     const MonotonicTime now = m_clock.now();
-    CallAnswer answer;
+    CallAnswer answer = write->success;
+    bool stored = false;
     const bool timeLeft = now + m_times.storeCallTimeout / 2 < write->deadline;
     switch (result.outcome) {
     case ChangeOutcome::Committed:
+        stored = true;
         break;
     case ChangeOutcome::Conflict:
-        if (write->onConflict) {
-            write->onConflict();
+        if (write->startOver && write->startOver(result.current)) {
             return;
         }
+        stored = true;
         answer.reason = "it is known already";
         break;
     case ChangeOutcome::NotDone:
@@ -265,7 +321,7 @@
     logEvent(LogLevel::Info,
              write->event,
              {{"job", write->job},
-              {"stored", answer.outcome == CallOutcome::Done},
+              {"stored", stored},
               {"version", result.version},
               {"sendings", write->attempts},
               {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - write->startedAt).count()},
@@ -285,7 +341,7 @@
                          return;
                      }
                      if (page->rows.empty()) {
-                         done({CallOutcome::NoSuchJob, "no such job", {}, {}, {}});
+                         done(noSuchJob());
                          return;
                      }
                      ProtocolError decodeError;
@@ -294,6 +350,10 @@
                          done({CallOutcome::Refused, decodeError.reason, m_times.retryAfter, {}, {}});
                          return;
                      }
+                     if (record->withdrawn) {
+                         done(noSuchJob());
+                         return;
+                     }
                      done({CallOutcome::Done, {}, {}, record->state, {}});
                  });
 }
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -212,10 +212,14 @@
 
 std::string encodeState(const StateRecord &record)
 {
-    return toBytes({{"s", jobStateName(record.state)},
-                    {"q", record.queue.value()},
-                    {"o", record.organisation.value()},
-                    {"t", record.since.time_since_epoch().count()}});
+    Json value = {{"s", jobStateName(record.state)},
+                  {"q", record.queue.value()},
+                  {"o", record.organisation.value()},
+                  {"t", record.since.time_since_epoch().count()}};
+    if (record.withdrawn) {
+        value["w"] = true;
+    }
+    return toBytes(value);
 }
 
 std::optional<StateRecord> decodeState(const std::string &bytes, ProtocolError &error)
@@ -228,6 +232,7 @@
             record.queue = QueueName(value.at("q").get<std::string>());
             record.organisation = OrganisationId(value.at("o").get<std::string>());
             record.since = WallTime(Duration(value.at("t").get<std::int64_t>()));
+            record.withdrawn = value.value("w", false);
             return record;
         },
         error);
--- a/unittests/Workflow/JobIntakeTest.cpp
+++ b/unittests/Workflow/JobIntakeTest.cpp
@@ -103,24 +103,106 @@
 // Guards against cancel requests for unknown or ended jobs whose rows are never removed.
 TEST_F(Intake, cancelNeedsAnOpenJob)
 {
-    const auto cancel = [this] {
+    const auto cancel = [this](const JobId &id) {
         CallAnswer answer;
-        m_intake.cancel(
-            job().id, m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
+        m_intake.cancel(id, m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
         m_timeline.runFor(seconds(3));
         return answer.outcome;
     };
-    EXPECT_EQ(cancel(), CallOutcome::NoSuchJob);
+    const JobId unknown("5c0e7a21d94b36f9");
+    EXPECT_EQ(cancel(unknown), CallOutcome::NoSuchJob);
+    EXPECT_EQ(m_store.find(JobsTable, cancelKey(unknown)), nullptr);
     submit();
-    EXPECT_EQ(cancel(), CallOutcome::Done);
+    EXPECT_EQ(cancel(job().id), CallOutcome::Done);
     EXPECT_NE(m_store.find(JobsTable, cancelKey(job().id)), nullptr);
     m_store.apply({{},
                    {{StatesTable, job().id.value(), encodeState({JobState::Completed, {}, {}, {}}), {}, false}},
                    {{JobsTable, cancelKey(job().id)}}});
-    EXPECT_EQ(cancel(), CallOutcome::Done);
+    EXPECT_EQ(cancel(job().id), CallOutcome::Done);
     EXPECT_EQ(m_store.find(JobsTable, cancelKey(job().id)), nullptr);
 }
 
+/** Cancels of a job whose submission has no known outcome. */
+class Withdrawal : public Intake
+{
+protected:
+    CallAnswer cancel()
+    {
+        std::optional<CallAnswer> answer;
+        m_intake.cancel(
+            job().id, m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
+        for (int i = 0; i < 300 && !answer; ++i) {
+            m_timeline.runFor(milliseconds(10));
+        }
+        EXPECT_TRUE(answer);
+        return answer.value_or(CallAnswer{});
+    }
+
+    CallAnswer show()
+    {
+        CallAnswer answer;
+        m_intake.show(job().id, m_timeline.now() + seconds(2), [&answer](const CallAnswer &given) { answer = given; });
+        m_timeline.runFor(milliseconds(100));
+        return answer;
+    }
+
+    bool hasJobRow() const
+    {
+        return m_store.find(JobsTable, job().id.value()) != nullptr;
+    }
+};
+
+// Guards against a job that runs after its cancelling was acknowledged: the store carries out its submission late.
+TEST_F(Withdrawal, lateSubmissionOfACancelledJobStoresNothing)
+{
+    m_store.delayedProbability = 1;
+    CallAnswer submitted;
+    m_intake.submit(job(), m_timeline.now() + milliseconds(700), [&](const CallAnswer &given) { submitted = given; });
+    m_timeline.runFor(milliseconds(750));
+    ASSERT_EQ(submitted.outcome, CallOutcome::Unclear);
+    m_store.delayedProbability = 0;
+    EXPECT_EQ(cancel().outcome, CallOutcome::NoSuchJob);
+    m_timeline.runFor(seconds(10));
+    EXPECT_FALSE(hasJobRow());
+    EXPECT_EQ(show().outcome, CallOutcome::NoSuchJob);
+    EXPECT_EQ(cancel().outcome, CallOutcome::NoSuchJob);
+}
+
+// The same while another instance still sends the submission. Its caller learns that the job is known, and cancelled.
+TEST_F(Withdrawal, submissionAfterTheCancelIsShownAsCancelled)
+{
+    EXPECT_EQ(cancel().outcome, CallOutcome::NoSuchJob);
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    EXPECT_FALSE(hasJobRow());
+    EXPECT_EQ(m_store.find(WaitingTable, waitingKey(job().queue, job().id)), nullptr);
+    EXPECT_EQ(show().state, JobState::Cancelled);
+    EXPECT_EQ(submit().outcome, CallOutcome::Done);
+    EXPECT_EQ(show().state, JobState::Cancelled);
+}
+
+// Guards against a cancel that is lost between reading the state and writing: the submission takes effect in between.
+TEST_F(Withdrawal, submissionDuringTheCancelIsCancelled)
+{
+    m_intake.submit(job(), m_timeline.now() + seconds(2), [](const CallAnswer &) {});
+    EXPECT_EQ(cancel().outcome, CallOutcome::Done);
+    EXPECT_NE(m_store.find(JobsTable, cancelKey(job().id)), nullptr);
+}
+
+// Guards against an acknowledged cancel that is not stored, and against a cancel that conflicts with itself for ever.
+TEST_F(Withdrawal, isAcknowledgedOnlyWhenStored)
+{
+    m_store.responseLossProbability = 1;
+    m_timeline.after(milliseconds(300), [this] { m_store.responseLossProbability = 0; });
+    EXPECT_EQ(cancel().outcome, CallOutcome::NoSuchJob);
+    m_store.rows.clear();
+    m_store.requestLost = 1;
+    EXPECT_EQ(cancel().outcome, CallOutcome::Unclear);
+    m_store.requestLost = 0;
+    m_store.rows.clear();
+    m_store.apply({{}, {{StatesTable, job().id.value(), "unreadable", {}, false}}, {}});
+    EXPECT_EQ(cancel().outcome, CallOutcome::Refused);
+}
+
 // Guards against answers that differ from the stored states and counts.
 TEST_F(Intake, showsStatesAndCounts)
 {
--- a/unittests/Workflow/StateSweeperTest.cpp
+++ b/unittests/Workflow/StateSweeperTest.cpp
@@ -52,6 +52,17 @@
     EXPECT_NE(m_store.find(StatesTable, "later"), nullptr);
 }
 
+// Guards against rows of cancelled jobs that were never stored and whose rows stay for ever.
+TEST_F(Sweeper, removesWithdrawnJobs)
+{
+    const StateRecord record{JobState::Cancelled, {}, {}, m_timeline.clock().wallNow(), true};
+    m_store.apply({{}, {{StatesTable, "withdrawn", encodeState(record), {}, false}}, {}});
+    runFor(seconds(100));
+    EXPECT_NE(m_store.find(StatesTable, "withdrawn"), nullptr);
+    runFor(seconds(100));
+    EXPECT_EQ(m_store.find(StatesTable, "withdrawn"), nullptr);
+}
+
 // Guards against a sweeper that stops after a failed call.
 TEST_F(Sweeper, goesOnAfterAnOutage)
 {
