--- a/include/corianderscale/Transport/AsyncHttpClient.h
+++ b/include/corianderscale/Transport/AsyncHttpClient.h
@@ -55,6 +55,9 @@
     /** Number of open connections. */
     std::size_t connections() const;
 
+    /** Whether requests can be sent to @p address: `IPv4:port` with a port above 0. Thread safety: pure. */
+    static bool isAddress(const std::string &address);
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -391,6 +391,12 @@
     m_implementation->closeIdle(address);
 }
 
+bool AsyncHttpClient::isAddress(const std::string &address)
+{
+    const std::optional<Tcp::endpoint> endpoint = parseAddress(address);
+    return endpoint && endpoint->port() > 0;
+}
+
 std::size_t AsyncHttpClient::connections() const
 {
     return m_implementation->m_openConnections;
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -45,6 +45,9 @@
     std::int64_t used = 0;
     std::int64_t capacity = 0;
     for (const BoardEntry &entry : board.entries()) {
+        if (!entry.worker->known) {
+            continue; // Its entry may come from another writer.
+        }
         used += entry.worker->used.accelerators.count();
         capacity += entry.worker->report.capacity.accelerators.count();
     }
--- a/lib/Workflow/UrgentReserve.cpp
+++ b/lib/Workflow/UrgentReserve.cpp
@@ -35,6 +35,9 @@
         RackUse &rack = racks[worker.report.service][worker.report.rack];
         rack.entries.push_back(i);
         rack.capacity += board.entries()[i].open ? capacity : 0;
+        if (!worker.known) {
+            continue; // Its entry may come from another writer.
+        }
         auto &[used, total] = useAndCapacity[worker.report.service];
         used += worker.used.accelerators.count();
         total += capacity;
--- a/unittests/Platform/MessagesTest.cpp
+++ b/unittests/Platform/MessagesTest.cpp
@@ -95,6 +95,85 @@
     EXPECT_EQ(catalogue->holderOf("k3"), nullptr);
 }
 
+/** A valid discovery entry. */
+Json workerEntry()
+{
+    return Json::parse(R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready","born":5,
+        "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"]})");
+}
+
+/** Text of @p depth arrays within each other. */
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Guards against an entry of another writer that ends the process or overflows a sum over all workers: nested thousands
+// of levels deep, numbers beyond their type, addresses that are none.
+TEST(CatalogueMessages, oddWorkerEntriesAreRefused)
+{
+    ProtocolError error;
+    ASSERT_TRUE(decodeWorkerReport("i-1", workerEntry().dump(), error)) << error.reason;
+    std::vector<std::string> odd{nested(30000), std::string(30000, '['), "{\"service\":\"\xff\"}"};
+    for (const char *field : {"labels", "capacity", "other"}) {
+        std::string text = workerEntry().dump();
+        text.insert(1, "\"" + std::string(field) + "\":" + nested(30000) + ",");
+        odd.push_back(text);
+    }
+    for (const char *number : {"1e400", "1e30", "-1e30", "18446744073709551615", "9223372036854775807", "-1", "1.5"}) {
+        for (const char *field : {"/born", "/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu", "/remaining_ms"}) {
+            Json entry = workerEntry();
+            entry["state"] = "draining";
+            if (std::string(number) == "-1" && std::string(field) == "/remaining_ms") {
+                continue; // A worker that leaves later than it announced.
+            }
+            entry[Json::json_pointer(field)] = "HERE";
+            std::string text = entry.dump();
+            odd.push_back(text.replace(text.find("\"HERE\""), 6, number));
+        }
+    }
+    for (const char *address :
+         {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", "10.0.0.1:80x", "host:80", ""}) {
+        Json entry = workerEntry();
+        entry["addr"] = address;
+        odd.push_back(entry.dump());
+    }
+    for (const std::string &text : odd) {
+        error = {};
+        EXPECT_FALSE(decodeWorkerReport("i-1", text, error)) << text.substr(0, 200);
+        EXPECT_FALSE(error.reason.empty()) << text.substr(0, 200);
+        EXPECT_LT(error.reason.size(), 400U);
+    }
+}
+
+// Guards against a submission, an answer or a page with such contents that ends the process.
+TEST(Messages, oddNumbersAndNestingAreRefused)
+{
+    ProtocolError error;
+    for (const char *number : {"1e400", "1e30", "18446744073709551615", "9223372036854775807", "-1e30"}) {
+        const std::string text(number);
+        for (const char *field : {"count", "cpu", "mem_mb", "gpu", "max_per_server"}) {
+            const std::string body = R"({"steps":[{"count":1,")" + std::string(field) + "\":" + text + "}]}";
+            EXPECT_FALSE(decodeSubmission(body, error)) << body;
+        }
+        for (const char *field : {"times", "first_ms", "interval_ms"}) {
+            const std::string body = R"({"steps":[{"count":1}],")" + std::string(field) + "\":" + text + "}";
+            EXPECT_FALSE(decodeSubmission(body, error)) << body;
+        }
+        const std::string ended = R"({"ended":[[)" + text + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+        EXPECT_EQ(decodeHoldAnswer(response(200, ended), {}).outcome, OrderOutcome::Unknown) << ended;
+        EXPECT_FALSE(decodeOrderAnswer(response(200, R"({"clock_ms":)" + text + "}"), {}).clock) << text;
+    }
+    EXPECT_FALSE(decodeSubmission(R"({"steps":)" + nested(100000) + "}", error));
+    EXPECT_EQ(decodeHoldAnswer(response(200, R"({"running":)" + nested(100000) + "}"), {}).outcome,
+              OrderOutcome::Unknown);
+    EXPECT_FALSE(decodeOrderAnswer(response(200, nested(100000)), {}).clock);
+    StateError stateError;
+    EXPECT_FALSE(decodePage(R"({"ver":1,"rows":)" + nested(100000) + "}", stateError));
+    EXPECT_FALSE(decodeCatalogue(R"({"version":1,"routes":[],"services":[],"tenants":)" + nested(100000) + "}", error));
+    EXPECT_FALSE(decodeAdvice(R"({"good":[],"valid_ms":1e30})", error));
+}
+
 // Guards against discovery entries that are accepted although they do not describe a usable worker.
 TEST(CatalogueMessages, foreignWorkerEntriesAreRefused)
 {
--- a/unittests/Workflow/UrgentReserveTest.cpp
+++ b/unittests/Workflow/UrgentReserveTest.cpp
@@ -78,5 +78,16 @@
     EXPECT_EQ(reservedWorkers(boardAt(m_now, 1000)), 4U);
 }
 
+// Guards against one entry of another writer that ends the reserve of a whole pool: it names more accelerators than all
+// workers have, and no worker answers for it.
+TEST_F(Reserve, entryThatNoWorkerAnswersForDoesNotCount)
+{
+    useEvery(5);
+    Worker &odd = add("odd", "r9");
+    odd.report.capacity.accelerators = Accelerators(1000000000);
+    odd.known = false;
+    EXPECT_EQ(reservedWorkers(boardAt(m_now, 1000)), 4U);
+}
+
 } // namespace
 } // namespace coriander::workflow
