Workflow: tasks that a job does not have are ignored in workers' lists

What callers would see: an owner that ends, and with it each next one, while a worker lists a run or an end of a task with an occurrence, step or index beyond those of its job.

Cause: such a key was looked up with at(), whose exception nobody catches.

Evidence: Engine.listedTasksThatTheJobDoesNotHaveAreIgnored ended with vector::_M_range_check before; it passes now. Found while looking for the cause of odd request bodies on related paths; not seen on a real worker.

Why this works: the job of a run is looked up by its task, and is unknown if it has no such task. Runs of unknown tasks are stopped and keep their worker's room until then, as before.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -234,6 +234,9 @@
     void removeLeftoverProgress(const ChangeLimits &limits, EngineBatch &batch);
     void forgetEndedJobs(MonotonicTime now);
     Job *findJob(const JobId &id);
+    /** The job of a task; null if it is not known or has no such task, which a worker's list may name. */
+    Job *findJobOf(const TaskKey &key);
+    const Job *findJobOf(const TaskKey &key) const;
     /** Number of failed runs of a task after which its job fails; no value while the queue of the job is not in the
      * configuration. */
     std::optional<int> maximumAttempts(const Job &job) const;
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -44,7 +44,11 @@
 
     /** The stored form of one occurrence. */
     OccurrenceRecord record(std::size_t occurrence) const;
+    /** Whether the job has the task. */
+    bool has(const TaskKey &key) const;
+    /** Precondition: the job has the task. */
     Task &task(const TaskKey &key);
+    /** Precondition: the job has the step. */
     const StepSpec &step(const TaskKey &key) const;
     /** Whether all tasks of a step are done. */
     bool stepDone(std::size_t occurrence, std::size_t step) const;
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -74,6 +74,18 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+Job *JobEngine::findJobOf(const TaskKey &key)
+{
+    Job *job = findJob(key.job);
+    return job != nullptr && job->has(key) ? job : nullptr;
+}
+
+const Job *JobEngine::findJobOf(const TaskKey &key) const
+{
+    const Job *job = this->job(key.job);
+    return job != nullptr && job->has(key) ? job : nullptr;
+}
+
 std::optional<int> JobEngine::maximumAttempts(const Job &job) const
 {
     const QueueSpec *queue = m_catalogue ? m_catalogue->queue(job.spec.queue) : nullptr;
--- a/lib/Workflow/JobEngineDrain.cpp
+++ b/lib/Workflow/JobEngineDrain.cpp
@@ -18,7 +18,7 @@
 
 Duration JobEngine::timeToEnd(const Worker &worker, const Run &run, MonotonicTime now) const
 {
-    const Job *job = this->job(run.task.job);
+    const Job *job = findJobOf(run.task);
     const Duration estimate = job == nullptr ? Duration(0) : job->step(run.task).estimate;
     if (!run.seenRunning) {
         return estimate;
@@ -43,7 +43,7 @@
         }
         std::vector<RunKey> leaving;
         for (const auto &[key, run] : worker.runs) {
-            const Job *job = findJob(key.first.job);
+            const Job *job = findJobOf(key.first);
             const decision::LeavingRun view{worker.leavesAt - now, timeToEnd(worker, run, now)};
             const bool wanted = job != nullptr && !isFinal(job->state) && !run.stopWanted;
             if (wanted && (job->step(key.first).longRunning || decision::shouldEvacuate(view))) {
@@ -75,7 +75,7 @@
               {"percent", run.percent}});
     ++m_counts.evacuated;
     stopRun(worker.report.id, key);
-    Job *job = findJob(key.first.job);
+    Job *job = findJobOf(key.first);
     if (job->step(key.first).gang) {
         stopGang(*job, key.first, key.second);
     }
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -105,7 +105,7 @@
 
 void JobEngine::sendStart(Worker &worker, Run &run)
 {
-    Job *job = findJob(run.task.job);
+    Job *job = findJobOf(run.task);
     const RunKey key{run.task, run.number};
     const bool unusable = !worker.listed || worker.report.draining || worker.silentCalls > 0
         || m_clock.now() - m_discoveryReadAt > m_times.maximumDiscoveryAge;
@@ -198,7 +198,7 @@
         worker->avoidedUntil = std::max(worker->avoidedUntil, now + m_times.refusalAvoidTime);
     }
     runGone(*worker, key, "the start was not carried out");
-    Job *job = findJob(key.first.job);
+    Job *job = findJobOf(key.first);
     if (job != nullptr && job->step(key.first).gang) {
         stopGang(*job, key.first, key.second);
     }
@@ -270,7 +270,7 @@
 Duration JobEngine::holdWait(const Worker &worker) const
 {
     const bool urgent = std::any_of(worker.runs.begin(), worker.runs.end(), [this](const auto &each) {
-        const Job *job = this->job(each.first.first.job);
+        const Job *job = findJobOf(each.first.first);
         const QueueSpec *queue = job == nullptr || !m_catalogue ? nullptr : m_catalogue->queue(job->spec.queue);
         return queue != nullptr && queue->priority == 0;
     });
@@ -381,7 +381,7 @@
     }
     for (const RunKey &key : gone) {
         runGone(worker, key, "the worker does not list the run and will refuse it");
-        Job *job = findJob(key.first.job);
+        Job *job = findJobOf(key.first);
         if (job != nullptr && job->step(key.first).gang) {
             stopGang(*job, key.first, key.second);
         }
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -109,7 +109,7 @@
 
 std::optional<double> JobEngine::victimCost(const Run &run, int claimantPriority, MonotonicTime now) const
 {
-    const Job *job = this->job(run.task.job);
+    const Job *job = findJobOf(run.task);
     const QueueSpec *queue = job == nullptr ? nullptr : m_catalogue->queue(job->spec.queue);
     if (queue == nullptr || queue->priority <= claimantPriority) {
         return std::nullopt;
@@ -157,7 +157,7 @@
                   {"organisation", candidate.job->spec.organisation}});
         ++m_counts.preempted;
         stopRun(worker, key);
-        Job *victim = findJob(key.first.job);
+        Job *victim = findJobOf(key.first);
         if (victim != nullptr && victim->step(key.first).gang) {
             stopGang(*victim, key.first, key.second);
         }
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -33,7 +33,7 @@
 {
     m_workers.removeRun(worker, key);
     m_planWanted = true;
-    Job *job = findJob(key.first.job);
+    Job *job = findJobOf(key.first);
     if (job == nullptr) {
         return;
     }
@@ -181,7 +181,7 @@
             run.start = StartState::Unclear;
             run.startCallEndedAt = m_clock.now();
         }
-        Job *job = findJob(key.first.job);
+        Job *job = findJobOf(key.first);
         if (job != nullptr && job->task(key.first).run == key.second) {
             job->task(key.first).incarnation = incarnation;
             markDirty(key.first);
@@ -295,9 +295,8 @@
 
 void JobEngine::raiseRunNumber(const TaskKey &key, std::int64_t run)
 {
-    Job *job = findJob(key.job);
-    if (job == nullptr || key.occurrence >= job->occurrences.size() || key.step >= job->spec.steps.size()
-        || key.index >= job->spec.steps[key.step].tasks) {
+    Job *job = findJobOf(key);
+    if (job == nullptr) {
         return;
     }
     Task &task = job->task(key);
@@ -320,7 +319,7 @@
             orphan.startCallEndedAt = now;
             // The resources of a run of an unknown job are not known, so nothing else may start there until it is gone.
             orphan.resources = worker.report.capacity;
-            if (const Job *job = findJob(each.task.job); job != nullptr && each.task.step < job->spec.steps.size()) {
+            if (const Job *job = findJobOf(each.task); job != nullptr) {
                 orphan.resources = job->step(each.task).perTask;
             }
             orphan.stopWanted = true;
@@ -351,7 +350,7 @@
             run.sampledAt = now;
         }
         run.start = StartState::Accepted;
-        Job *job = findJob(each.task.job);
+        Job *job = findJobOf(each.task);
         if (job != nullptr && !each.checkpoint.empty() && job->task(each.task).run == each.run) {
             job->task(each.task).checkpoint = each.checkpoint;
             job->task(each.task).checkpointPercent = each.percent;
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -14,6 +14,12 @@
     return record;
 }
 
+bool Job::has(const TaskKey &key) const
+{
+    return key.occurrence < occurrences.size() && key.step < spec.steps.size()
+        && key.index < spec.steps[key.step].tasks;
+}
+
 Task &Job::task(const TaskKey &key)
 {
     return occurrences.at(key.occurrence).steps.at(key.step).at(key.index);
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -97,6 +97,8 @@
         std::int64_t leaseUntil = 0;
         std::map<RunKey, LiveRun> runs;
         std::vector<EndedTask> ended;
+        /** Runs that the worker lists although it has none of them. */
+        std::vector<RunningTask> listedOnly;
         std::int64_t lastEnd = 0;
         std::map<TaskKey, std::int64_t> refusedThrough;
         /** Number of the last end when the lease last lapsed. */
@@ -504,6 +506,7 @@
         for (const auto &[key, run] : machine->runs) {
             answer.running.push_back({key.first, key.second, checkpoint, percentOf(*machine, key)});
         }
+        answer.running.insert(answer.running.end(), machine->listedOnly.begin(), machine->listedOnly.end());
         const std::size_t listed = std::min(machine->ended.size(), MaximumListedEnds);
         answer.ended.assign(machine->ended.begin(), machine->ended.begin() + static_cast<std::ptrdiff_t>(listed));
         answer.moreEnds = listed == MaximumListedEnds;
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -193,6 +193,26 @@
     EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
 }
 
+// Guards against an owner that ends because a worker lists a run or an end of a task that its job does not have.
+TEST_F(Engine, listedTasksThatTheJobDoesNotHaveAreIgnored)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(4)});
+    m_harness.runFor(seconds(1));
+    for (auto &[id, machine] : m_harness.workers.machines()) {
+        for (const TaskKey &odd : {TaskKey{JobId("j"), 7, 0, 0}, TaskKey{JobId("j"), 0, 9, 0}, TaskKey{JobId("j"), 0, 0, 5}}) {
+            machine.ended.push_back({++machine.lastEnd, odd, 1, EndKind::Failed, ""});
+            machine.listedOnly.push_back({odd, 2, "", 10});
+        }
+    }
+    m_harness.runFor(seconds(2));
+    for (auto &[id, machine] : m_harness.workers.machines()) {
+        machine.listedOnly.clear();
+    }
+    m_harness.runFor(seconds(6));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
+    EXPECT_EQ(m_harness.workers.starts(task("j", 0, 0)), 1U);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
