Transport: the boundary around request handlers is a function of its own

Change: makeGuardedHandler() wraps a handler; the servers for callers, readiness, neighbours and metrics use it.

--- a/include/corianderscale/Transport/AsyncHttpServer.h
+++ b/include/corianderscale/Transport/AsyncHttpServer.h
@@ -22,8 +22,7 @@
     Duration idleTime = std::chrono::seconds(15);
 };
 
-/** Sends the response to one request. Must be called once, on the thread of the event loop; later calls have no effect.
- */
+/** Sends the response to one request. Must be called exactly once, on the thread of the event loop. */
 using AsyncHttpRespond = std::function<void(HttpResponse)>;
 using AsyncHttpHandler = std::function<void(HttpRequest request, AsyncHttpRespond respond)>;
 
@@ -31,8 +30,7 @@
  * HTTP/1.1 server over Boost.Beast on the caller's event loop.
  *
  * A request that is not received in time (408), whose body is too large (413) or that is malformed (400) is answered
- * without waiting for the rest of it. If the handler throws, the request is answered with 500 and the server goes on;
- * state that the handler shares with others must not be half changed then.
+ * without waiting for the rest of it.
  *
  * Thread safety: must be used only on the thread that runs the event loop, unless a method says otherwise.
  */
--- a/lib/Transport/AsyncHttpServer.cpp
+++ b/lib/Transport/AsyncHttpServer.cpp
@@ -1,17 +1,13 @@
 #include "corianderscale/Transport/AsyncHttpServer.h"
 
-#include "corianderscale/Support/Log.h"
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <atomic>
-#include <exception>
 #include <optional>
 #include <set>
-#include <utility>
 
 #include "UriText.h"
 
@@ -167,21 +163,8 @@
         request.body = std::move(m_parser->get().body());
         ++m_server->m_inProgress;
         m_countedInProgress = true;
-        const auto answered = std::make_shared<bool>(false);
-        const AsyncHttpRespond respondOnce = [self = shared_from_this(), answered](HttpResponse response) {
-            if (!std::exchange(*answered, true)) {
-                self->respond(std::move(response));
-            }
-        };
-        const std::string target(message.target());
-        try {
-            m_server->m_handler(std::move(request), respondOnce);
-        } catch (const std::exception &failure) {
-            logEvent(LogLevel::Error,
-                     "handler-failed",
-                     {{"path", target}, {"answered", *answered}, {"reason", failure.what()}});
-            respondOnce(errorResponse(500, "internal", "the request could not be handled"));
-        }
+        m_server->m_handler(std::move(request),
+                            [self = shared_from_this()](HttpResponse response) { self->respond(std::move(response)); });
     }
 
     void respond(HttpResponse response)
--- a/lib/Workflow/CallRelay.cpp
+++ b/lib/Workflow/CallRelay.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Workflow/CallRelay.h"
 
+#include "corianderscale/Transport/GuardedHandler.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -149,8 +151,9 @@
     : m_serve(std::move(serve))
     , m_storeRelease(std::move(storeRelease))
     , m_client(loop, clientSettings())
-    , m_server(
-          loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) { handle(request, respond); })
+    , m_server(loop, {}, makeGuardedHandler([this](const HttpRequest &request, const AsyncHttpRespond &respond) {
+                   handle(request, respond);
+               }))
 {
 }
 
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -3,6 +3,7 @@
 #include "corianderscale/Daemon/CommandLine.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/AsyncHttpServer.h"
+#include "corianderscale/Transport/GuardedHandler.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,9 +87,10 @@
                   storeReleaseForNeighbour(release, done);
               })
         , m_router({}, m_clock, m_store, m_settings.dataCentre, routerHooks())
-        , m_metricsServer(m_loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
-            respond(showMetrics(request));
-        })
+        , m_metricsServer(
+              m_loop, {}, makeGuardedHandler([this](const HttpRequest &request, const AsyncHttpRespond &respond) {
+                  respond(showMetrics(request));
+              }))
     {
     }
 
--- a/unittests/Transport/AsyncHttpTest.cpp
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -7,7 +7,6 @@
 #include <gtest/gtest.h>
 
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -27,13 +26,6 @@
                    {.headerBytes = 2000, .bodyBytes = 1000, .receiveTime = milliseconds(200), .idleTime = seconds(5)},
                    [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
                        ++m_handled;
-                       if (request.path == "/throws") {
-                           throw std::runtime_error("the handler failed");
-                       }
-                       if (request.path == "/answers-and-throws") {
-                           respond({});
-                           throw std::runtime_error("the handler failed");
-                       }
                        if (request.path == "/late") {
                            m_pending.push_back(respond);
                            return;
@@ -126,22 +118,6 @@
     EXPECT_EQ(result.response->body, "POST|/a b|x&y=z|yes|body");
 }
 
-// Guards against one request whose handler throws and that ends the process.
-TEST_F(AsyncHttp, handlerThatThrowsEndsOnlyItsRequest)
-{
-    HttpRequest request;
-    request.path = "/throws";
-    const Result failed = call(request, seconds(5));
-    ASSERT_TRUE(failed.response) << failed.error.reason;
-    EXPECT_EQ(failed.response->status, 500);
-    request.path = "/answers-and-throws";
-    const Result answered = call(request, seconds(5));
-    ASSERT_TRUE(answered.response) << answered.error.reason;
-    EXPECT_EQ(answered.response->status, 200);
-    EXPECT_TRUE(call({}, seconds(5)).response);
-    EXPECT_EQ(m_server.requestsInProgress(), 0U);
-}
-
 // Guards against a client that sends only part of a body never getting a response, or blocking other clients.
 TEST_F(AsyncHttp, truncatedBodyTimesOutWithoutBlockingOthers)
 {
