Workflow: only what can serve urgent demand is reserved for it

Cause: racks are reserved until they hold as many accelerators as urgent jobs want. Racks without any add nothing, so all racks are reserved, and a job that can never run keeps them so.

Evidence: UrgentReserveLoad.hopelessUrgentJobDoesNotStopOtherWork and two tests of the reserve failed before; they pass now.

Why this works: workers without accelerators are left out of the reserve, a pool without any has none, and a job that is too large for each worker is no demand.

--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -97,10 +97,23 @@
 
 UrgentReserve::Demand JobEngine::urgentDemand() const
 {
+    std::map<ServiceName, std::int64_t> largestWorker;
+    for (const auto &[id, worker] : m_workers.all()) {
+        std::int64_t &largest = largestWorker[worker.report.service];
+        largest = std::max(largest, worker.report.capacity.accelerators.count());
+    }
     UrgentReserve::Demand demand;
     for (const auto &[id, job] : m_jobs) {
         const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
+        if (queue == nullptr || queue->priority != 0 || isFinal(job.state)) {
+            continue;
+        }
+        // Nothing is reserved for a job that no worker is large enough for.
+        const std::int64_t largest = largestWorker[queue->service];
+        const bool canRun = std::all_of(job.spec.steps.begin(), job.spec.steps.end(), [largest](const StepSpec &step) {
+            return step.perTask.accelerators.count() <= largest;
+        });
+        if (canRun) {
             demand[queue->service] += largestStepAccelerators(job.spec);
         }
     }
--- a/lib/Workflow/UrgentReserve.cpp
+++ b/lib/Workflow/UrgentReserve.cpp
@@ -32,6 +32,9 @@
     for (std::size_t i = 0; i < board.entries().size(); ++i) {
         const Worker &worker = *board.entries()[i].worker;
         const std::int64_t capacity = worker.report.capacity.accelerators.count();
+        if (capacity == 0) {
+            continue; // It can't serve the demand, which is for accelerators.
+        }
         RackUse &rack = racks[worker.report.service][worker.report.rack];
         rack.entries.push_back(i);
         rack.capacity += board.entries()[i].open ? capacity : 0;
@@ -49,7 +52,7 @@
                              pool.peak * std::exp(-std::max(seconds, 0.0) / PeakDecaySeconds));
         pool.updatedAt = now;
         const auto &[used, total] = useAndCapacity[service];
-        if (static_cast<double>(used) < MinimumUsedShare * static_cast<double>(total)) {
+        if (total == 0 || static_cast<double>(used) < MinimumUsedShare * static_cast<double>(total)) {
             continue;
         }
         const double limit = MaximumReservedShare * static_cast<double>(total);
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -199,7 +199,8 @@
     m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(4)});
     m_harness.runFor(seconds(1));
     for (auto &[id, machine] : m_harness.workers.machines()) {
-        for (const TaskKey &odd : {TaskKey{JobId("j"), 7, 0, 0}, TaskKey{JobId("j"), 0, 9, 0}, TaskKey{JobId("j"), 0, 0, 5}}) {
+        for (const TaskKey &odd :
+             {TaskKey{JobId("j"), 7, 0, 0}, TaskKey{JobId("j"), 0, 9, 0}, TaskKey{JobId("j"), 0, 0, 5}}) {
             machine.ended.push_back({++machine.lastEnd, odd, 1, EndKind::Failed, ""});
             machine.listedOnly.push_back({odd, 2, "", 10});
         }
@@ -213,6 +214,22 @@
     EXPECT_EQ(m_harness.workers.starts(task("j", 0, 0)), 1U);
 }
 
+// Guards against urgent work that can never run and keeps all other work of a pool without accelerators from starting.
+TEST(UrgentReserveLoad, hopelessUrgentJobDoesNotStopOtherWork)
+{
+    EngineHarness harness;
+    for (int i = 0; i < 8; ++i) {
+        harness.workers.add("w" + std::to_string(i), "r0", resources(32, 0, 65536));
+    }
+    harness.startOwner();
+    harness.runFor(seconds(1));
+    harness.submit(harness.job("hopeless", 0, {stepOf(1, 1, 1)}), {});
+    harness.runFor(seconds(1));
+    harness.submit(harness.job("j", 1, {stepOf(1, 1, 0)}), {.work = seconds(1)});
+    harness.runFor(seconds(4));
+    EXPECT_EQ(harness.storedState(JobId("j")), JobState::Completed);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
--- a/unittests/Workflow/UrgentReserveTest.cpp
+++ b/unittests/Workflow/UrgentReserveTest.cpp
@@ -78,6 +78,29 @@
     EXPECT_EQ(reservedWorkers(boardAt(m_now, 1000)), 4U);
 }
 
+// Guards against a reserve of all workers of a pool without accelerators, for demand that it cannot serve.
+TEST_F(Reserve, workersWithoutAcceleratorsAreNotReserved)
+{
+    for (auto &[id, worker] : m_book.all()) {
+        worker.report.capacity.accelerators = Accelerators(0);
+    }
+    EXPECT_EQ(reservedWorkers(boardAt(m_now, 1)), 0U);
+}
+
+// The same where some workers of a reserved rack have none.
+TEST_F(Reserve, onlyWorkersThatCanServeTheDemandAreReserved)
+{
+    useEvery(5);
+    for (int i = 0; i < 4; ++i) {
+        add("cores" + std::to_string(i), "r" + std::to_string(i)).report.capacity.accelerators = Accelerators(0);
+    }
+    const PlacementBoard board = boardAt(m_now, 20);
+    EXPECT_EQ(reservedWorkers(board), 4U);
+    for (const BoardEntry &entry : board.entries()) {
+        EXPECT_FALSE(entry.reserved && entry.worker->report.capacity.accelerators.count() == 0);
+    }
+}
+
 // Guards against one entry of another writer that ends the reserve of a whole pool: it names more accelerators than all
 // workers have, and no worker answers for it.
 TEST_F(Reserve, entryThatNoWorkerAnswersForDoesNotCount)
