Workflow: the preference for a rack ends for a job that stands still

Cause: both preferences were conditions without an end.

Evidence: RackPreferenceLoad.gangLeavesItsRackWhenThePoolIsIdle and taskLeavesTheRackOfItsDataWhenThePoolIsIdle fail with the decision switched off and pass with it.

Why this works: after 2 s a job of which nothing runs may start elsewhere if the pool is idle by half, which leaves time to start it before it has stood still for 3 s. In a busy pool the rack is worth the wait, since tasks are several times slower in others.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -295,7 +295,11 @@
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
     MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
-    PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
+    PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now);
+    /** Whether the tasks of the step may start outside of the rack that they prefer. */
+    bool mayLeaveRack(const Candidate &candidate, MonotonicTime now);
+    /** Share of the capacity of a pool that is in use, from 0 to 1, as known at the beginning of the planning pass. */
+    double usedShare(const ServiceName &service, bool accelerators);
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
     static StepKey stepKey(const Candidate &candidate);
     bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
@@ -382,6 +386,8 @@
     /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
     bool m_waveInPass = false;
     bool m_provenMarked = false;
+    /** Used and total capacity of each pool in the present planning pass; filled when first asked for. */
+    std::map<ServiceName, std::pair<decision::Resources, decision::Resources>> m_poolUse;
     /** Share of the accelerators in use; valid while workers are marked as proven. */
     double m_usedShare = 0;
     DataCentreWatch m_dataCentreWatch;
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -23,6 +23,8 @@
 
 struct Occurrence {
     std::vector<std::vector<Task>> steps;
+    /** By step: since when tasks of the step wait for room; no value if none do. */
+    std::vector<std::optional<MonotonicTime>> waitingSince;
     /** Whether the occurrence changed since its row was stored. */
     bool dirty = false;
     /** Whether the store has, or is about to get, a row of the occurrence. */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -19,6 +19,8 @@
     /** Rack that stores the step's data; empty if there is none. */
     RackId dataRack;
     bool sameRack = false;
+    /** Whether the tasks may start outside of the rack that they prefer, see decision::mayLeaveRack(). */
+    bool mayLeaveRack = false;
     /** Whether the tasks may use reserved workers; if so, reserved workers are preferred. */
     bool urgent = false;
     /** Whether workers whose last run failed are excluded. */
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -1,3 +1,4 @@
+#include "corianderscale/Decision/RackPreference.h"
 #include "corianderscale/Decision/WaitingOrder.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
@@ -68,6 +69,7 @@
         return;
     }
     PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now));
+    m_poolUse.clear();
     m_urgentReserve.apply(urgentDemand(), board, now);
     markProvenWorkers(board, now);
     dropExpiredClaims(now);
@@ -164,6 +166,10 @@
             candidate.since = countedSince(job, k);
             candidate.objective = objectiveOf(job, queue, k, chain);
             candidate.late = now + job.spec.steps[s].estimate > candidate.objective;
+            std::optional<MonotonicTime> &waitingSince = job.occurrences[k].waitingSince[s];
+            if (!waitingSince && !waitingTasks(candidate).empty()) {
+                waitingSince = now;
+            }
             into.push_back(candidate);
         }
     }
@@ -184,7 +190,40 @@
     return waiting;
 }
 
-PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks) const
+double JobEngine::usedShare(const ServiceName &service, bool accelerators)
+{
+    const auto [entry, added] = m_poolUse.try_emplace(service);
+    auto &[used, total] = entry->second;
+    if (added) {
+        for (const auto &[id, worker] : m_workers.all()) {
+            if (worker.report.service == service && worker.listed && worker.known && !worker.report.draining) {
+                used = plus(used, worker.used);
+                total = plus(total, worker.report.capacity);
+            }
+        }
+    }
+    const auto share = [](std::int64_t part, std::int64_t whole) {
+        return whole == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
+    };
+    return accelerators ? share(used.accelerators.count(), total.accelerators.count())
+                        : share(used.cores.count(), total.cores.count());
+}
+
+bool JobEngine::mayLeaveRack(const Candidate &candidate, MonotonicTime now)
+{
+    const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    const std::optional<MonotonicTime> since
+        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const bool prefersRack = (step.gang && step.sameRack) || !step.dataRack.empty();
+    if (!prefersRack || !since) {
+        return false;
+    }
+    return decision::mayLeaveRack({now - *since,
+                                   candidate.job->anyAssigned(),
+                                   usedShare(candidate.queue->service, step.perTask.accelerators.count() > 0)});
+}
+
+PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now)
 {
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
     PlacementNeed need;
@@ -197,6 +236,7 @@
     need.requiredLabel = step.requiredLabel;
     need.dataRack = step.dataRack;
     need.sameRack = step.gang && step.sameRack;
+    need.mayLeaveRack = mayLeaveRack(candidate, now);
     need.urgent = candidate.queue->priority == 0;
     need.maximumPerWorker = step.maximumPerWorker;
     if (candidate.queue->needsAdvice) {
@@ -303,7 +343,7 @@
         return waitsForProof(*candidate.job, all[index], now);
     };
     std::stable_partition(tasks.begin(), tasks.end(), waits);
-    PlacementNeed need = needOf(candidate, tasks);
+    PlacementNeed need = needOf(candidate, tasks, now);
     need.requireProven = true;
     need.excludeFailing = true;
     const std::vector<std::size_t> entries = findRoom(need, candidate.job->spec.steps[candidate.step].gang, board);
@@ -333,7 +373,7 @@
         m_claims.erase(claimKey);
         return;
     }
-    PlacementNeed need = needOf(candidate, tasks);
+    PlacementNeed need = needOf(candidate, tasks, now);
     // A retry prefers workers that have completed a run, because another failure may fail the job.
     need.requireCompletedRun = hasFailed(candidate, tasks);
     need.excludeFailing = gang && candidate.queue->priority == 0;
@@ -408,6 +448,7 @@
         m_workers.addRun(worker, std::move(run));
         occurrence.pendingStarts.emplace_back(workers[i], key);
     }
+    occurrence.waitingSince[candidate.step].reset();
     occurrence.dirty = true;
     m_dirtyJobs.insert(job.spec.id);
     job.started = true;
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -65,6 +65,7 @@
     for (const StepSpec &step : spec.steps) {
         occurrence.steps.emplace_back(step.tasks, Task{});
     }
+    occurrence.waitingSince.resize(spec.steps.size());
     job.occurrences.assign(std::max<std::size_t>(spec.occurrences, 1), occurrence);
     job.spec = std::move(spec);
     job.learntAt = now;
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -96,8 +96,9 @@
     }
 
     /**
-     * Sort key of an entry, the smallest is best: workers to avoid come last, urgent work prefers reserved workers,
-     * then workers with the least room left after the task come first, compared by accelerators, cores and memory.
+     * Sort key of an entry, the smallest is best: workers away from the data and workers to avoid come last, urgent
+     * work prefers reserved workers, then workers with the least room left after the task come first, compared by
+     * accelerators, cores and memory.
      */
     auto sortKey(const BoardEntry &entry) const
     {
@@ -105,7 +106,9 @@
             || (!m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0);
         const decision::Resources left = minus(entry.room, m_need.perTask);
         const bool unreserved = m_need.urgent && !entry.reserved;
-        return std::tuple(avoided, unreserved, left.accelerators.count(), left.cores.count(), left.memory.count());
+        const bool away = !m_need.dataRack.empty() && entry.worker->report.rack != m_need.dataRack;
+        return std::tuple(
+            away, avoided, unreserved, left.accelerators.count(), left.cores.count(), left.memory.count());
     }
 
     std::optional<std::size_t> bestOf(const std::vector<std::size_t> &entries) const
@@ -233,7 +236,7 @@
         std::erase_if(inRack, [&board, &rack](std::size_t index) { return board.entries()[index].rack != *rack; });
         return placer.take(board, inRack);
     }
-    if (anyRackFitsWhenEmpty(board, placer, need)) {
+    if (!need.mayLeaveRack && anyRackFitsWhenEmpty(board, placer, need)) {
         return {};
     }
     return placer.take(board, placer.eligible());
@@ -280,7 +283,7 @@
     const auto inDataRack = [&board, &need](std::size_t index) {
         return board.entries()[index].worker->report.rack == need.dataRack;
     };
-    if (!need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
+    if (!need.mayLeaveRack && !need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
         std::erase_if(entries, [&inDataRack](std::size_t index) { return !inDataRack(index); });
     }
     return placer.take(board, entries);
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -230,6 +230,61 @@
     EXPECT_EQ(harness.storedState(JobId("j")), JobState::Completed);
 }
 
+/** 16 workers in four racks. */
+class RackPreferenceLoad : public ::testing::Test
+{
+protected:
+    RackPreferenceLoad()
+    {
+        for (int i = 0; i < 16; ++i) {
+            m_harness.workers.add("w" + std::to_string(10 + i), "r" + std::to_string(i / 4), WorkerSize);
+        }
+        m_harness.startOwner();
+        m_harness.runFor(seconds(1));
+    }
+
+    /** Fills @p accelerators on one worker of the rack for a long time. */
+    void fill(const std::string &rack, std::size_t tasks, std::int64_t accelerators)
+    {
+        StepSpec step = stepOf(tasks, 1, accelerators);
+        step.dataRack = RackId(rack);
+        m_harness.submit(m_harness.job("fill-" + rack, 1, {step}), {.work = seconds(600)});
+        m_harness.runFor(milliseconds(500));
+    }
+
+    EngineHarness m_harness;
+};
+
+// Guards against a gang that waits for ever for one rack, with most workers idle, because each rack holds some work
+// that does not end.
+TEST_F(RackPreferenceLoad, gangLeavesItsRackWhenThePoolIsIdle)
+{
+    for (const char *rack : {"r0", "r1", "r2", "r3"}) {
+        fill(rack, 1, 1);
+    }
+    StepSpec gang = stepOf(4, 1, 8);
+    gang.gang = true;
+    gang.sameRack = true;
+    m_harness.submit(m_harness.job("gang", 1, {gang}), {.work = seconds(2)});
+    m_harness.runFor(milliseconds(1500));
+    EXPECT_EQ(m_harness.workers.starts({JobId("gang"), 0, 0, 0}), 0U) << "left its rack at once";
+    m_harness.runFor(milliseconds(1400));
+    EXPECT_EQ(m_harness.workers.starts({JobId("gang"), 0, 0, 0}), 1U);
+}
+
+// The same for a task that prefers the rack of its data, which is full.
+TEST_F(RackPreferenceLoad, taskLeavesTheRackOfItsDataWhenThePoolIsIdle)
+{
+    fill("r1", 4, 8);
+    StepSpec step = stepOf(1, 1, 1);
+    step.dataRack = RackId("r1");
+    m_harness.submit(m_harness.job("task", 1, {step}), {.work = seconds(2)});
+    m_harness.runFor(milliseconds(1500));
+    EXPECT_EQ(m_harness.workers.starts({JobId("task"), 0, 0, 0}), 0U) << "left its rack at once";
+    m_harness.runFor(milliseconds(1400));
+    EXPECT_EQ(m_harness.workers.starts({JobId("task"), 0, 0, 0}), 1U);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
