Workflow: preemption keeps the limit of tasks per worker

Cause: planReclaim() did not look at maximumPerWorker, and the need of a step's remaining tasks was computed before this pass placed some of them.

Evidence: Board.victimsMakeRoomWithinTheLimitPerWorker and Engine.preemptionKeepsTheLimitPerWorker failed before; both pass.

Why this works: each worker of a plan has the number of tasks of the step that it may still take, and the need is computed again for what is left after placing.

--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -401,9 +401,7 @@
         applyClaim(claim->second, board, true);
         return;
     }
-    PlacementNeed rest = need;
-    rest.tasks = tasks.size() - entries.size();
-    reclaim(candidate, rest, board, now);
+    reclaim(candidate, needOf(candidate, waitingTasks(candidate), now), board, now);
 }
 
 void JobEngine::assign(const Candidate &candidate,
--- a/lib/Workflow/Reclaim.cpp
+++ b/lib/Workflow/Reclaim.cpp
@@ -14,6 +14,8 @@
     decision::Resources room;
     /** Runs that may still be chosen as victims, cheapest first, with their costs. */
     std::vector<std::pair<double, const Run *>> victims;
+    /** Number of tasks of the step that the worker may still take. */
+    std::size_t tasksLeft = 0;
 };
 
 /** Cost and number of victims to make room for one more task on a worker. */
@@ -22,10 +24,23 @@
     std::size_t victims = 0;
 };
 
-Candidate makeCandidate(const PlacementBoard &board, std::size_t index, const VictimCost &costOf)
+std::size_t tasksLeft(const PlacementNeed &need, const WorkerId &worker)
+{
+    if (need.maximumPerWorker == 0) {
+        return need.tasks;
+    }
+    const auto placed = need.placedTasks.find(worker);
+    return need.maximumPerWorker
+        - std::min(need.maximumPerWorker, placed == need.placedTasks.end() ? 0 : placed->second);
+}
+
+Candidate makeCandidate(const PlacementBoard &board,
+                        std::size_t index,
+                        const PlacementNeed &need,
+                        const VictimCost &costOf)
 {
     const BoardEntry &entry = board.entries()[index];
-    Candidate candidate{entry.worker, index, entry.rack, entry.room, {}};
+    Candidate candidate{entry.worker, index, entry.rack, entry.room, {}, tasksLeft(need, entry.worker->report.id)};
     for (const auto &[key, run] : entry.worker->runs) {
         if (run.stopWanted) {
             candidate.room = plus(candidate.room, run.resources);
@@ -44,6 +59,9 @@
 
 std::optional<TaskCost> costOfNextTask(const Candidate &candidate, const decision::Resources &size)
 {
+    if (candidate.tasksLeft == 0) {
+        return std::nullopt;
+    }
     TaskCost taskCost;
     decision::Resources room = candidate.room;
     while (!fitsInto(size, room)) {
@@ -68,6 +86,7 @@
     candidate.victims.erase(candidate.victims.begin(),
                             candidate.victims.begin() + static_cast<std::ptrdiff_t>(taskCost.victims));
     candidate.room = minus(candidate.room, size);
+    --candidate.tasksLeft;
     plan.entries.push_back(candidate.entry);
     plan.cost += taskCost.cost;
 }
@@ -104,7 +123,7 @@
     std::vector<Candidate> candidates;
     for (const std::size_t index : board.eligible(need)) {
         if (board.entries()[index].open) {
-            candidates.push_back(makeCandidate(board, index, costOf));
+            candidates.push_back(makeCandidate(board, index, need, costOf));
         }
     }
     if (!need.sameRack) {
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -285,6 +285,29 @@
     EXPECT_EQ(m_harness.workers.starts({JobId("task"), 0, 0, 0}), 1U);
 }
 
+// Guards against an urgent gang that preempts and starts more of its tasks on one worker than its limit allows.
+TEST_F(Engine, preemptionKeepsTheLimitPerWorker)
+{
+    m_harness.submit(m_harness.job("bulk", 2, {stepOf(6, 1, 8)}), {.work = seconds(30)});
+    m_harness.runFor(seconds(1));
+    StepSpec gang = stepOf(4, 1, 1);
+    gang.gang = true;
+    gang.maximumPerWorker = 1;
+    gang.estimate = seconds(60);
+    std::map<WorkerId, int> startedOn;
+    m_harness.workers.onStart = [&](const TaskKey &key, std::int64_t run) {
+        for (const auto &[id, machine] : m_harness.workers.machines()) {
+            startedOn[id] += key.job == JobId("urgent") && machine.runs.count({key, run}) > 0 ? 1 : 0;
+        }
+    };
+    m_harness.submit(m_harness.job("urgent", 0, {gang}), {.work = seconds(2)});
+    m_harness.runFor(seconds(3));
+    EXPECT_EQ(m_harness.workers.starts(task("urgent", 0, 3)), 1U);
+    for (const auto &[id, count] : startedOn) {
+        EXPECT_LE(count, 1) << id;
+    }
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
--- a/unittests/Workflow/PlacementTest.cpp
+++ b/unittests/Workflow/PlacementTest.cpp
@@ -100,6 +100,29 @@
     EXPECT_FALSE(none);
 }
 
+// Guards against a plan that makes room for more tasks of a step on one worker than allowed.
+TEST_F(Board, victimsMakeRoomWithinTheLimitPerWorker)
+{
+    use(add("w1", "r1"), 8);
+    use(add("w2", "r1"), 8);
+    use(add("w3", "r1"), 8);
+    const PlacementBoard board(m_book, {});
+    const auto cost = [](const Worker &worker, const workflow::Run &) -> std::optional<double> {
+        return worker.report.id == WorkerId("w1") ? 1 : 100;
+    };
+    PlacementNeed bounded = need(3, 1);
+    bounded.maximumPerWorker = 2;
+    const auto plan = planReclaim(board, bounded, cost);
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(std::count(plan->entries.begin(), plan->entries.end(), plan->entries.front()), 2);
+    bounded.placedTasks[WorkerId("w1")] = 2;
+    const auto elsewhere = planReclaim(board, bounded, cost);
+    ASSERT_TRUE(elsewhere);
+    for (const auto &[worker, key] : elsewhere->victims) {
+        EXPECT_NE(worker, WorkerId("w1"));
+    }
+}
+
 // Guards against reserving workers that have less free room for the gang than others.
 TEST_F(Board, workersWithMostRoomAreReservedForAGang)
 {
