Workflow: a guarantee is reclaimed from urgent work beyond guarantees too

Cause: victimCost() spared every run of the claimant's own priority.

Evidence: Engine.guaranteeIsReclaimedFromUrgentWorkBeyondAGuarantee failed before; it passes now.

Why this works: a claimant that a guarantee covers may stop a run of its own priority whose job no guarantee covers. The set of covered jobs is that of the planning pass. Such runs cost 100 times as much, so lower priorities are taken first.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -335,8 +335,9 @@
     bool isWorthPreempting(const Candidate &candidate, const ReclaimPlan &plan, const PlacementBoard &board) const;
     void reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     /** Cost of stopping the run, in core equivalents times seconds of lost run time; no value if the run must not be
-     * stopped for a claimant of this priority. */
-    std::optional<double> victimCost(const Run &run, int claimantPriority, MonotonicTime now) const;
+     * stopped for the claimant: it gives way to a higher priority, or, if no guarantee covers its job, to a guarantee.
+     */
+    std::optional<double> victimCost(const Run &run, const Candidate &claimant, MonotonicTime now) const;
     /** Subtracts the claimed room from the board if @p taken, else adds it back. */
     void applyClaim(const Claim &claim, PlacementBoard &board, bool taken);
     /** Takes the claimed room and returns the entries of the claimed workers, one for each task. Returns none and takes
@@ -381,6 +382,8 @@
     std::map<JobId, Job> m_jobs;
     WorkerTable m_workers;
     std::map<ClaimKey, Claim> m_claims;
+    /** The jobs that a guarantee covers in the present planning pass. */
+    std::set<JobId> m_coveredJobs;
     UrgentReserve m_urgentReserve;
     decision::FailureWave m_failureWave;
     /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -112,9 +112,9 @@
         }
         addCandidates(job, *queue, now, found);
     }
-    const std::set<JobId> covered = guaranteedJobs();
+    m_coveredJobs = guaranteedJobs();
     for (Candidate &candidate : found) {
-        candidate.guaranteed = covered.count(candidate.job->spec.id) > 0;
+        candidate.guaranteed = m_coveredJobs.count(candidate.job->spec.id) > 0;
         const Duration estimate = candidate.job->spec.steps[candidate.step].estimate;
         const double rank = decision::waitingRank({candidate.queue->priority,
                                                    candidate.guaranteed,
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -26,6 +26,9 @@
     return largest;
 }
 
+/** Factor of the cost of a run of the claimant's own priority, which is stopped only where others do not make room. */
+constexpr double SamePriorityReluctance = 100;
+
 /** Urgent work beyond a guarantee preempts other runs only if they lose at most this share of its own work. */
 constexpr double MaximumLostWorkShare = 0.7;
 
@@ -120,17 +123,23 @@
     return demand;
 }
 
-std::optional<double> JobEngine::victimCost(const Run &run, int claimantPriority, MonotonicTime now) const
+std::optional<double> JobEngine::victimCost(const Run &run, const Candidate &claimant, MonotonicTime now) const
 {
     const Job *job = findJobOf(run.task);
     const QueueSpec *queue = job == nullptr ? nullptr : m_catalogue->queue(job->spec.queue);
-    if (queue == nullptr || queue->priority <= claimantPriority) {
+    if (queue == nullptr) {
+        return std::nullopt;
+    }
+    const bool lower = queue->priority > claimant.queue->priority;
+    const bool beyondGuarantee = claimant.guaranteed && m_coveredJobs.count(run.task.job) == 0;
+    if (!lower && !beyondGuarantee) {
         return std::nullopt;
     }
     const StepSpec &step = job->step(run.task);
     const double seconds = run.seenRunning ? std::chrono::duration<double>(now - run.runningSince).count() : 0.0;
     const double lost = step.checkpoints ? 1.0 : 1.0 + seconds;
-    return coreEquivalents(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0);
+    const double reluctance = lower ? 1.0 : SamePriorityReluctance;
+    return coreEquivalents(run.resources) * lost * (step.gang ? static_cast<double>(step.tasks) : 1.0) * reluctance;
 }
 
 bool JobEngine::isWorthPreempting(const Candidate &candidate,
@@ -155,7 +164,7 @@
 {
     const std::optional<ReclaimPlan> plan
         = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
-              return victimCost(run, candidate.queue->priority, now);
+              return victimCost(run, candidate, now);
           });
     if (!plan || (!candidate.guaranteed && !isWorthPreempting(candidate, *plan, board))) {
         return;
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -308,6 +308,20 @@
     }
 }
 
+// Guards against a job within its organisation's guarantee that waits for urgent jobs beyond any guarantee.
+TEST_F(Engine, guaranteeIsReclaimedFromUrgentWorkBeyondAGuarantee)
+{
+    JobSpec flood = m_harness.job("flood", 0, {stepOf(6, 1, 8)});
+    flood.organisation = OrganisationId("without-guarantee");
+    m_harness.submit(flood, {.work = seconds(30)});
+    m_harness.runFor(seconds(1));
+    m_harness.submit(m_harness.job("covered", 0, {stepOf(2, 1, 8)}), {.work = seconds(2)});
+    m_harness.runFor(milliseconds(2900));
+    EXPECT_EQ(m_harness.workers.starts(task("covered", 0, 0)), 1U);
+    EXPECT_EQ(m_harness.workers.starts(task("covered", 0, 1)), 1U);
+    EXPECT_EQ(m_harness.workers.stopped, 2U);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
