Workflow: a restarted worker gets no work before its new report is read

Cause: workerRestarted() kept labels and capacity of the earlier process.

Evidence: Engine.restartedWorkerGetsNoWorkBeforeItsReport fails without the change and passes with it.

Why this works: the report is marked as outdated when the owner learns of the new process from an answer. Such a worker is closed for placing, and starts that were placed before are given up instead of sent.

--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -63,6 +63,9 @@
     WorkerReport report;
     /** Whether discovery lists the worker. */
     bool listed = false;
+    /** Whether the worker was restarted after its report: the new process may be of another kind, so it gets no new
+     * work before its own report is read. */
+    bool reportOutdated = false;
     /** Earliest time at which a draining worker leaves, by its reports; NeverDue if it is not known. */
     MonotonicTime leavesAt = NeverDue;
     std::map<RunKey, Run> runs;
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -107,7 +107,7 @@
 {
     Job *job = findJobOf(run.task);
     const RunKey key{run.task, run.number};
-    const bool unusable = !worker.listed || worker.report.draining || worker.silentCalls > 0
+    const bool unusable = !worker.listed || worker.reportOutdated || worker.report.draining || worker.silentCalls > 0
         || m_clock.now() - m_discoveryReadAt > m_times.maximumDiscoveryAge;
     if (job == nullptr || run.stopWanted || unusable) {
         runGone(worker, key, "the start was not sent");
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -190,6 +190,7 @@
     resetIncarnationState(worker);
     worker.earlierLeasesEndAt = m_clock.now() + m_times.longestLease + m_times.leaseMargin;
     worker.report.incarnation = incarnation;
+    worker.reportOutdated = true;
 }
 
 void JobEngine::handleWorkerReport(const WorkerReport &report)
@@ -213,10 +214,12 @@
                   {"incarnation", report.incarnation},
                   {"runs", worker.runs.size()}});
     }
-    const bool offersMore = isNew || !worker.listed || report.capacity != worker.report.capacity
-        || report.labels != worker.report.labels || report.draining != worker.report.draining;
+    const bool offersMore = isNew || worker.reportOutdated || !worker.listed
+        || report.capacity != worker.report.capacity || report.labels != worker.report.labels
+        || report.draining != worker.report.draining;
     m_planWanted = m_planWanted || offersMore;
     worker.report = report;
+    worker.reportOutdated = false;
     if (!report.draining) {
         worker.leavesAt = NeverDue;
     } else if (report.minimumTimeToLeave) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -12,7 +12,8 @@
 /** Whether @p worker may take new runs at @p now. */
 bool takesWork(const Worker &worker, MonotonicTime now)
 {
-    return worker.known && worker.silentCalls == 0 && worker.avoidedUntil <= now && worker.clock.has_value();
+    return worker.known && !worker.reportOutdated && worker.silentCalls == 0 && worker.avoidedUntil <= now
+        && worker.clock.has_value();
 }
 
 /** Number of tasks of @p size that fit into @p room, at most @p most. */
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -322,6 +322,31 @@
     EXPECT_EQ(m_harness.workers.stopped, 2U);
 }
 
+// Guards against a task on a worker without its label: the worker was restarted under its id as another kind, and its
+// new report is not read yet.
+TEST_F(Engine, restartedWorkerGetsNoWorkBeforeItsReport)
+{
+    StepSpec step = stepOf(1, 1, 1);
+    step.requiredLabel = "a";
+    m_harness.submit(m_harness.job("first", 1, {stepOf(6, 1, 8)}), {.work = seconds(2)});
+    m_harness.runFor(seconds(1));
+    for (const auto &[id, machine] : m_harness.workers.machines()) {
+        m_harness.workers.restart(id);
+        m_harness.workers.machines().at(id).report.labels = {"b", "r0"};
+    }
+    m_harness.runFor(seconds(3));
+    m_harness.submit(m_harness.job("labelled", 1, {step}), {});
+    m_harness.runFor(seconds(2));
+    EXPECT_EQ(m_harness.workers.starts(task("labelled", 0, 0)), 0U);
+    m_harness.workers.machines().at(WorkerId("w3")).report.labels = {"a", "r1"};
+    for (const auto &[id, machine] : m_harness.workers.machines()) {
+        m_harness.report(id);
+    }
+    m_harness.runFor(seconds(8));
+    EXPECT_EQ(m_harness.storedState(JobId("labelled")), JobState::Completed);
+    EXPECT_EQ(m_harness.storedState(JobId("first")), JobState::Completed);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
