Workflow: work that lasts is never late

Cause: late work gives way by one and a half priorities, and a task without an end counted as late soon after its submission.

Why this works: work that lasts is placed before all work without a guarantee, and after 2 s without room it preempts work of lower priority.

--- a/include/corianderscale/Decision/WaitingOrder.h
+++ b/include/corianderscale/Decision/WaitingOrder.h
@@ -10,6 +10,8 @@
     int priority = 0;
     /** Whether the organisation's guarantee covers the work. */
     bool guaranteed = false;
+    /** Whether the work runs until it is cancelled, so that it has no end by which it could be late. */
+    bool lasting = false;
     /** When it would end if it started now, counted from its submission or due time. */
     Duration endsAfter{};
     /** Its latency objective, counted from the same time. */
@@ -23,6 +25,9 @@
  * its caller less and gives way by one and a half priorities. Work that would end after several times its objective is
  * worth nothing more to its caller, so it gives way to all work that still is; it is done when there is room again.
  *
+ * Work that lasts serves users of its own, who have nothing while it waits; it comes before all work without a
+ * guarantee.
+ *
  * Thread safety: pure.
  */
 double waitingRank(const WaitingWork &work);
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -61,6 +61,8 @@
     Duration leaseGrantWindow = std::chrono::seconds(4);
     /** How long room freed by preemption stays claimed for the step that preempted; longer than a stop takes. */
     Duration claimTimeout = std::chrono::milliseconds(2500);
+    /** How long a task that lasts waits for room before it preempts work of lower priority. */
+    Duration lastingWait = std::chrono::seconds(2);
     /** How long a worker gets no new work after several failed runs in a row; several times the run time of a typical
      * task. */
     Duration failureAvoidTime = std::chrono::seconds(10);
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -118,6 +118,7 @@
         const Duration estimate = candidate.job->spec.steps[candidate.step].estimate;
         const double rank = decision::waitingRank({candidate.queue->priority,
                                                    candidate.guaranteed,
+                                                   candidate.job->spec.steps[candidate.step].longRunning,
                                                    now + estimate - candidate.since,
                                                    candidate.objective - candidate.since});
         ordered.emplace_back(std::tuple(rank, candidate.objective, candidate.job->spec.id), candidate);
@@ -393,7 +394,11 @@
         reserveForGang(need, board);
     }
     const bool urgent = candidate.queue->priority == 0 && gang;
-    if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent)) {
+    const std::optional<MonotonicTime> since
+        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const bool lastingWaits
+        = candidate.job->spec.steps[candidate.step].longRunning && since && now - *since > m_times.lastingWait;
+    if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent || lastingWaits)) {
         m_claims.erase(claimKey);
         return;
     }
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -147,6 +147,9 @@
                                   const PlacementBoard &board) const
 {
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    if (step.longRunning) {
+        return true; // Its work has no end, so an estimate says nothing.
+    }
     const double seconds = std::chrono::duration<double>(step.estimate).count();
     const double ownWork = coreEquivalents(step.perTask) * seconds * static_cast<double>(step.tasks);
     if (plan.cost > ownWork * MaximumLostWorkShare) {
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -347,6 +347,40 @@
     EXPECT_EQ(m_harness.storedState(JobId("first")), JobState::Completed);
 }
 
+// Guards against a task that lasts and is not started again while work of lower priority keeps all workers full.
+TEST_F(Engine, taskThatLastsIsStartedAgainInAFullPool)
+{
+    StepSpec lasting = stepOf(1, 1, 8);
+    lasting.longRunning = true;
+    m_harness.submit(m_harness.job("lasting", 1, {lasting}), {.work = seconds(20), .failures = 1});
+    m_harness.runFor(seconds(9));
+    StepSpec low = stepOf(1, 1, 8);
+    low.estimate = seconds(9);
+    for (int i = 0; i < 60; ++i) {
+        m_harness.submit(m_harness.job("low" + std::to_string(100 + i), 2, {low}),
+                         {.work = milliseconds(8000 + 100 * (i % 17))});
+    }
+    m_harness.runFor(milliseconds(900));
+    ASSERT_EQ(m_harness.workers.starts(task("lasting", 0, 0)), 1U);
+    m_harness.runFor(seconds(1));
+    EXPECT_EQ(m_harness.workers.starts(task("lasting", 0, 0)), 2U);
+}
+
+// The same where its room was taken before the task came, so that nothing frees a whole worker soon.
+TEST_F(Engine, taskThatLastsPreemptsLowerPriorities)
+{
+    m_harness.submit(m_harness.job("low", 2, {stepOf(48, 1, 1)}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    StepSpec lasting = stepOf(1, 1, 8);
+    lasting.longRunning = true;
+    m_harness.submit(m_harness.job("lasting", 1, {lasting}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    EXPECT_EQ(m_harness.workers.stopped, 0U) << "preempted at once";
+    m_harness.runFor(seconds(3));
+    EXPECT_EQ(m_harness.workers.starts(task("lasting", 0, 0)), 1U);
+    EXPECT_EQ(m_harness.workers.stopped, 8U);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
