Workflow: failures of one job on all workers are not blamed on the workers

Cause: two failed runs in a row on a worker took it out of service, also when both were of one job.

Evidence: Engine.hopelessJobDoesNotStopOtherJobs fails with the old rule and passes with the new one.

Why this works: failures of a job that also fails on other workers, and of which nothing was done, do not count against a worker until a second job fails there. The decision is a function of its own, and its line names the job.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -273,6 +273,8 @@
     void holdAnswered(const Addressee &to, std::int64_t acknowledged, const HoldAnswer &answer);
     /** Records what the end of a run shows about its worker. */
     void recordHealth(Worker &worker, const EndedTask &end);
+    /** Counts a failed run, and gives the worker no new work for a while if it is to blame. */
+    void recordFailure(Worker &worker, const TaskKey &task);
     void processEnds(Worker &worker, const std::vector<EndedTask> &ends);
     /** Makes sure that the next run of a waiting task gets a higher number than @p run. */
     void raiseRunNumber(const TaskKey &key, std::int64_t run);
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -38,6 +38,8 @@
     JobSpec spec;
     std::vector<Occurrence> occurrences;
     JobState state = JobState::Queued;
+    /** Workers on which a run of the job failed in this term. */
+    std::set<WorkerId> failedOn;
     /** Whether a run was started; the job then no longer counts as waiting. */
     bool started = false;
     bool stateDirty = false;
@@ -58,6 +60,8 @@
     bool stepReady(std::size_t occurrence, std::size_t step) const;
     /** Whether any task has a run that may still exist. */
     bool anyAssigned() const;
+    /** Whether any task is done. */
+    bool anyDone() const;
 };
 
 /** Makes a job whose tasks have not been started. */
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -103,6 +103,8 @@
     std::optional<MonotonicTime> lastCompletedStartAt;
     /** Number of failed runs since the last completed one. */
     int failuresInRow = 0;
+    /** The jobs of these runs. */
+    std::set<JobId> jobsOfFailures;
     /** Until when the worker gets no new work because its runs fail, are slow or stall, or it refused a start. */
     MonotonicTime avoidedUntil;
 };
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -1,3 +1,4 @@
+#include "corianderscale/Decision/WorkerBlame.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
 
@@ -7,9 +8,6 @@
 
 namespace {
 
-/** Number of failed runs in a row, of any tasks, after which a worker is avoided; a single failure may be caused by the
-    task. */
-constexpr int FailuresBeforeAvoiding = 2;
 /** Minimum time over which a progress rate is computed; over less time the rounding to whole percents dominates. */
 constexpr Duration MinimumSampleTime = std::chrono::milliseconds(400);
 
@@ -269,18 +267,38 @@
         recordHealth(worker, end);
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
+            worker.jobsOfFailures.clear();
             ++worker.runsDone;
         }
-        if (end.kind == EndKind::Failed && ++worker.failuresInRow >= FailuresBeforeAvoiding) {
-            worker.avoidedUntil = m_clock.now() + m_times.failureAvoidTime;
-            logEvent(LogLevel::Warning,
-                     "worker-avoided",
-                     {{"worker", worker.report.id}, {"failures_in_row", worker.failuresInRow}});
+        if (end.kind == EndKind::Failed) {
+            recordFailure(worker, end.task);
         }
         runEnded(worker, {end.task, end.run}, end.kind, end.checkpoint);
     }
 }
 
+void JobEngine::recordFailure(Worker &worker, const TaskKey &task)
+{
+    ++worker.failuresInRow;
+    worker.jobsOfFailures.insert(task.job);
+    bool failsElsewhere = false;
+    if (Job *job = findJobOf(task)) {
+        job->failedOn.insert(worker.report.id);
+        failsElsewhere = job->failedOn.size() > 1 && !job->anyDone();
+    }
+    if (!decision::isWorkerToBlame({worker.failuresInRow, worker.jobsOfFailures.size(), failsElsewhere})) {
+        return;
+    }
+    worker.avoidedUntil = m_clock.now() + m_times.failureAvoidTime;
+    logEvent(LogLevel::Warning,
+             "worker-avoided",
+             {{"worker", worker.report.id},
+              {"failures_in_row", worker.failuresInRow},
+              {"jobs", worker.jobsOfFailures.size()},
+              {"last_job", task.job},
+              {"fails_elsewhere", failsElsewhere}});
+}
+
 void JobEngine::recordHealth(Worker &worker, const EndedTask &end)
 {
     const auto run = worker.runs.find({end.task, end.run});
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -4,6 +4,25 @@
 
 namespace coriander::workflow {
 
+namespace {
+
+bool anyInPhase(const Job &job, TaskPhase phase)
+{
+    const auto matches = [phase](const Task &task) {
+        return task.phase == phase;
+    };
+    for (const Occurrence &occurrence : job.occurrences) {
+        for (const std::vector<Task> &step : occurrence.steps) {
+            if (std::any_of(step.begin(), step.end(), matches)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
 OccurrenceRecord Job::record(std::size_t occurrence) const
 {
     OccurrenceRecord record;
@@ -45,17 +64,12 @@
 
 bool Job::anyAssigned() const
 {
-    const auto assigned = [](const Task &task) {
-        return task.phase == TaskPhase::Assigned;
-    };
-    for (const Occurrence &occurrence : occurrences) {
-        for (const std::vector<Task> &step : occurrence.steps) {
-            if (std::any_of(step.begin(), step.end(), assigned)) {
-                return true;
-            }
-        }
-    }
-    return false;
+    return anyInPhase(*this, TaskPhase::Assigned);
+}
+
+bool Job::anyDone() const
+{
+    return anyInPhase(*this, TaskPhase::Done);
 }
 
 Job makeJob(JobSpec spec, MonotonicTime now)
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -381,6 +381,20 @@
     EXPECT_EQ(m_harness.workers.stopped, 8U);
 }
 
+// Guards against one job that can never be done and takes all workers out of service, because its tasks fail on each.
+TEST_F(Engine, hopelessJobDoesNotStopOtherJobs)
+{
+    m_harness.submit(m_harness.job("hopeless", 1, {stepOf(12, 1, 4)}), {.work = seconds(4), .failures = 1000});
+    m_harness.runFor(seconds(3));
+    for (int i = 0; i < 6; ++i) {
+        m_harness.submit(m_harness.job("j" + std::to_string(i), 1, {stepOf(1, 1, 1)}), {.work = seconds(2)});
+    }
+    m_harness.runFor(seconds(7));
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(m_harness.storedState(JobId("j" + std::to_string(i))), JobState::Completed);
+    }
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
