Workflow: a job whose starts are refused counts as waiting

Cause: placing marks a job as running and removes its waiting row; a refused start did not put it back.

Evidence: Engine.jobWhoseStartsAreRefusedWaits fails without the change and passes with it.

Why this works: when a start is given up and no run has begun or may exist, the job is queued again and its row is written. Later placings of such a job leave the row until a run has begun. Other jobs need no further write.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -226,6 +226,10 @@
     // JobEngine.cpp
     void markDirty(const TaskKey &key);
     void markState(Job &job, JobState state);
+    /** Called when a run of the job is known to have begun. */
+    void markBegun(Job &job);
+    /** Shows the job as waiting again if none of its runs has begun and none may exist any more. */
+    void returnToQueue(Job &job);
     void completeIfDone(Job &job);
     void failJob(Job &job, const TaskKey &task);
     void stopJob(Job &job);
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Rows of a change of a job's state: the state, and the removed row of a waiting job. */
+/** Rows of a change of a job's state: the state, and the row of a waiting job, which is removed or written again. */
 constexpr std::size_t StateRows = 2;
 /** Further rows of the end of a job: the removed job and its cancel request. */
 constexpr std::size_t EndRows = 2;
@@ -225,6 +225,24 @@
     m_dirtyJobs.insert(job.spec.id);
 }
 
+void JobEngine::markBegun(Job &job)
+{
+    job.begun = true;
+    if (!isFinal(job.state)) {
+        markState(job, JobState::Running);
+    }
+}
+
+void JobEngine::returnToQueue(Job &job)
+{
+    if (job.begun || isFinal(job.state) || job.anyAssigned()) {
+        return;
+    }
+    job.startGivenUp = true;
+    job.started = false;
+    markState(job, JobState::Queued);
+}
+
 void JobEngine::completeIfDone(Job &job)
 {
     if (isFinal(job.state)) {
@@ -284,7 +302,12 @@
         }
         const StateRecord record{job.state, job.spec.queue, job.spec.organisation, now};
         batch.write({StatesTable, id.value(), encodeState(record), {}, false});
-        batch.removed.push_back({WaitingTable, waitingKey(job.spec.queue, id)});
+        const std::string waiting = waitingKey(job.spec.queue, id);
+        if (job.state == JobState::Queued) {
+            batch.write({WaitingTable, waiting, "", {}, false});
+        } else {
+            batch.removed.push_back({WaitingTable, waiting});
+        }
         job.stateDirty = false;
     }
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -178,6 +178,9 @@
     worker->nextHoldAt = std::min(worker->nextHoldAt, now);
     if (answer.outcome == OrderOutcome::Done) {
         found->second.start = StartState::Accepted;
+        if (Job *job = findJobOf(key.first)) {
+            markBegun(*job);
+        }
         return;
     }
     logEvent(LogLevel::Info,
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -455,7 +455,9 @@
     occurrence.dirty = true;
     m_dirtyJobs.insert(job.spec.id);
     job.started = true;
-    markState(job, JobState::Running);
+    if (!job.startGivenUp) {
+        markState(job, JobState::Running);
+    }
     logEvent(LogLevel::Info,
              "tasks-placed",
              {{"job", job.spec.id},
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -50,6 +50,9 @@
              {{"task", toString(key.first)}, {"run", key.second}, {"worker", worker.report.id}, {"cause", cause}});
     // LeaseLapsed stands for every cause: the task waits again and no failure is counted.
     runEnded(worker, key, EndKind::LeaseLapsed, {});
+    if (Job *job = findJobOf(key.first)) {
+        returnToQueue(*job);
+    }
 }
 
 void JobEngine::taskEnded(
@@ -265,6 +268,9 @@
                   {"kind", endKindName(end.kind)},
                   {"end", end.number}});
         recordHealth(worker, end);
+        if (Job *job = findJobOf(end.task)) {
+            markBegun(*job);
+        }
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
             worker.jobsOfFailures.clear();
@@ -355,6 +361,9 @@
         Run &run = found->second;
         if (!run.seenRunning) {
             run.seenRunning = true;
+            if (Job *job = findJobOf(each.task)) {
+                markBegun(*job);
+            }
             run.runningSince = now;
             run.progressedAt = now;
             run.sampledAt = now;
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -105,6 +105,7 @@
             Task &task = job.occurrences[occurrence].steps[step][index];
             static_cast<TaskRecord &>(task) = record.steps[step][index];
             job.started = job.started || task.run > 0;
+            job.begun = job.started;
         }
     }
     if (record.jobFailed) {
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -395,6 +395,28 @@
     }
 }
 
+// Guards against a job that is counted as begun although each of its starts was refused.
+TEST_F(Engine, jobWhoseStartsAreRefusedWaits)
+{
+    const std::string waiting = waitingKey(QueueName("q1"), JobId("j"));
+    m_harness.workers.ticketIsValid = [](const WorkerId &, const StartOrder &) {
+        return false;
+    };
+    m_harness.store.apply({{}, {{WaitingTable, waiting, "", {}, false}}, {}});
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(1)});
+    m_harness.runFor(seconds(1));
+    for (int i = 0; i < 500; ++i) {
+        m_harness.runFor(milliseconds(10));
+        ASSERT_NE(m_harness.store.find(WaitingTable, waiting), nullptr);
+    }
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Queued);
+    m_harness.workers.ticketIsValid = {};
+    m_harness.runFor(seconds(2));
+    EXPECT_EQ(m_harness.store.find(WaitingTable, waiting), nullptr);
+    m_harness.runFor(seconds(4));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Completed);
+}
+
 /** A job whose queue is removed from the configuration and added again. */
 class RemovedQueue : public Engine
 {
