Workflow: run-ended says what became of the end

The line named the run and how it ended, but not whether the owner counted it. To tell a completion that was ignored from one that was counted took a comparison with all earlier run-gone and start-sent lines of the task.

run-ended now has effect (current-run, ignored or task-unknown) and the latest run of the task; coriander_term_runs counts completions of runs that had been given up (completed-after-given-up). No decision changes.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -86,6 +86,8 @@
     /** Runs stopped because their worker was about to leave. */
     std::size_t evacuated = 0;
     std::map<EndKind, std::size_t> ended;
+    /** Completed runs that had been given up before their end was listed. */
+    std::size_t completedAfterGivenUp = 0;
 };
 
 /** Rows to store in one transaction, and the actions that follow once they are stored. */
@@ -250,6 +252,17 @@
     void failIfOutOfAttempts(Job &job);
 
     // JobEngineRuns.cpp
+    /** What an end that a worker lists means for the task. */
+    enum class EndEffect {
+        /** The task's current run has ended. */
+        CurrentRun,
+        /** The task is done, waits, or has a later run. */
+        Ignored,
+        /** The job has ended, or has no such task. */
+        TaskUnknown,
+    };
+    static const char *endEffectName(EndEffect effect);
+    EndEffect effectOf(const Worker &worker, const RunKey &key) const;
     void runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint);
     void runGone(Worker &worker, const RunKey &key, const char *cause);
     void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -56,6 +56,7 @@
     bool has(const TaskKey &key) const;
     /** Precondition: the job has the task. */
     Task &task(const TaskKey &key);
+    const Task &task(const TaskKey &key) const;
     /** Precondition: the job has the step. */
     const StepSpec &step(const TaskKey &key) const;
     /** Whether all tasks of a step are done. */
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -27,19 +27,37 @@
 
 } // namespace
 
-void JobEngine::runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint)
+const char *JobEngine::endEffectName(EndEffect effect)
 {
-    m_workers.removeRun(worker, key);
-    m_planWanted = true;
-    Job *job = findJobOf(key.first);
+    switch (effect) {
+    case EndEffect::CurrentRun:
+        return "current-run";
+    case EndEffect::Ignored:
+        return "ignored";
+    case EndEffect::TaskUnknown:
+        return "task-unknown";
+    }
+    return "unknown";
+}
+
+JobEngine::EndEffect JobEngine::effectOf(const Worker &worker, const RunKey &key) const
+{
+    const Job *job = findJobOf(key.first);
     if (job == nullptr) {
-        return;
+        return EndEffect::TaskUnknown;
     }
     const Task &task = job->task(key.first);
     const bool current = task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id
         && task.incarnation == worker.report.incarnation;
-    if (current) {
-        taskEnded(*job, key.first, kind, checkpoint, worker.report.id);
+    return current ? EndEffect::CurrentRun : EndEffect::Ignored;
+}
+
+void JobEngine::runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint)
+{
+    m_workers.removeRun(worker, key);
+    m_planWanted = true;
+    if (effectOf(worker, key) == EndEffect::CurrentRun) {
+        taskEnded(*findJobOf(key.first), key.first, kind, checkpoint, worker.report.id);
     }
 }
 
@@ -260,13 +278,21 @@
         worker.lastProcessedEnd = end.number;
         m_workersWithUnstoredEnds.insert(worker.report.id);
         ++m_counts.ended[end.kind];
+        const EndEffect effect = effectOf(worker, {end.task, end.run});
+        const Job *ofJob = findJobOf(end.task);
         logEvent(LogLevel::Info,
                  "run-ended",
                  {{"task", toString(end.task)},
                   {"run", end.run},
                   {"worker", worker.report.id},
                   {"kind", endKindName(end.kind)},
-                  {"end", end.number}});
+                  {"end", end.number},
+                  {"effect", endEffectName(effect)},
+                  {"latest_run", ofJob == nullptr ? 0 : ofJob->task(end.task).run}});
+        const bool completed = end.kind == EndKind::Done && effect == EndEffect::Ignored;
+        if (completed && ofJob->task(end.task).phase != TaskPhase::Done) {
+            ++m_counts.completedAfterGivenUp;
+        }
         recordHealth(worker, end);
         if (Job *job = findJobOf(end.task)) {
             markBegun(*job);
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -44,6 +44,11 @@
     return occurrences.at(key.occurrence).steps.at(key.step).at(key.index);
 }
 
+const Task &Job::task(const TaskKey &key) const
+{
+    return occurrences.at(key.occurrence).steps.at(key.step).at(key.index);
+}
+
 const StepSpec &Job::step(const TaskKey &key) const
 {
     return spec.steps.at(key.step);
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -71,6 +71,7 @@
         m_runs.Add({{"event", "preempted"}}).Set(static_cast<double>(counts.preempted));
         m_runs.Add({{"event", "evacuated"}}).Set(static_cast<double>(counts.evacuated));
         m_runs.Add({{"event", "moved"}}).Set(static_cast<double>(counts.moved));
+        m_runs.Add({{"event", "completed-after-given-up"}}).Set(static_cast<double>(counts.completedAfterGivenUp));
         for (const auto &[kind, count] : counts.ended) {
             m_runs.Add({{"event", endKindName(kind)}}).Set(static_cast<double>(count));
         }
