--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -18,6 +18,16 @@
     return {MilliCores(cores * 1000), MemoryMib(memory), Accelerators(accelerators)};
 }
 
+/** A step of tasks that take 2 s each. */
+inline StepSpec stepOf(std::size_t tasks, std::int64_t cores, std::int64_t accelerators)
+{
+    StepSpec step;
+    step.tasks = tasks;
+    step.perTask = resources(cores, accelerators);
+    step.estimate = std::chrono::seconds(2);
+    return step;
+}
+
 /** Capacity of every worker. */
 inline const decision::Resources WorkerSize = resources(32, 8, 65536);
 
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -7,15 +7,6 @@
 
 using std::chrono::seconds;
 
-StepSpec stepOf(std::size_t tasks, std::int64_t cores, std::int64_t accelerators)
-{
-    StepSpec step;
-    step.tasks = tasks;
-    step.perTask = resources(cores, accelerators);
-    step.estimate = seconds(2);
-    return step;
-}
-
 class Engine : public ::testing::Test
 {
 protected:
