Workflow: a completion that is listed after its run was given up counts (LOST)

Cause: when all leases of a silent worker have ended, its runs are given up and their tasks start elsewhere. Of the runs that the worker had completed before its lease ended, it lists the ends once it answers again. The owner took an end into account only if it belonged to the task's latest run, so these were ignored: the job waited for a second run of work that was done, up to its whole run time. A task that had found no room yet was started a second time after its completion was listed.

Why this works: a run is given up because nothing is heard of it. Its completion is stronger evidence, whenever it comes: the task is done, its later run is stopped or not started. Tasks that last and jobs that have ended are left alone.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -256,16 +256,20 @@
     enum class EndEffect {
         /** The task's current run has ended. */
         CurrentRun,
-        /** The task is done, waits, or has a later run. */
+        /** An earlier run, which had been given up, has completed the task. */
+        CompletesTask,
+        /** The task is done already; or an earlier run has ended, and the task waits or has a later run. */
         Ignored,
         /** The job has ended, or has no such task. */
         TaskUnknown,
     };
     static const char *endEffectName(EndEffect effect);
-    EndEffect effectOf(const Worker &worker, const RunKey &key) const;
+    EndEffect effectOf(const Worker &worker, const RunKey &key, EndKind kind) const;
     void runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint);
     void runGone(Worker &worker, const RunKey &key, const char *cause);
     void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
+    /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs later than @p run. */
+    void completeTask(Job &job, const TaskKey &key, std::int64_t run);
     void countFailure(Job &job, const TaskKey &key, const WorkerId &worker);
     void stopGang(Job &job, const TaskKey &key, std::int64_t run);
     void stopRun(const WorkerId &worker, const RunKey &key);
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -32,6 +32,8 @@
     switch (effect) {
     case EndEffect::CurrentRun:
         return "current-run";
+    case EndEffect::CompletesTask:
+        return "completes-task";
     case EndEffect::Ignored:
         return "ignored";
     case EndEffect::TaskUnknown:
@@ -40,7 +42,7 @@
     return "unknown";
 }
 
-JobEngine::EndEffect JobEngine::effectOf(const Worker &worker, const RunKey &key) const
+JobEngine::EndEffect JobEngine::effectOf(const Worker &worker, const RunKey &key, EndKind kind) const
 {
     const Job *job = findJobOf(key.first);
     if (job == nullptr) {
@@ -49,15 +51,29 @@
     const Task &task = job->task(key.first);
     const bool current = task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id
         && task.incarnation == worker.report.incarnation;
-    return current ? EndEffect::CurrentRun : EndEffect::Ignored;
+    if (current) {
+        return EndEffect::CurrentRun;
+    }
+    // A run is given up because nothing is heard of it; that it was completed overrides this.
+    const bool completes = kind == EndKind::Done && key.second <= task.run && task.phase != TaskPhase::Done
+        && !job->step(key.first).longRunning && !isFinal(job->state);
+    return completes ? EndEffect::CompletesTask : EndEffect::Ignored;
 }
 
 void JobEngine::runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint)
 {
     m_workers.removeRun(worker, key);
     m_planWanted = true;
-    if (effectOf(worker, key) == EndEffect::CurrentRun) {
+    switch (effectOf(worker, key, kind)) {
+    case EndEffect::CurrentRun:
         taskEnded(*findJobOf(key.first), key.first, kind, checkpoint, worker.report.id);
+        break;
+    case EndEffect::CompletesTask:
+        completeTask(*findJobOf(key.first), key.first, key.second);
+        break;
+    case EndEffect::Ignored:
+    case EndEffect::TaskUnknown:
+        break;
     }
 }
 
@@ -79,18 +95,11 @@
     Task &task = job.task(key);
     const StepSpec &step = job.step(key);
     const std::int64_t run = task.run;
-    std::vector<Task> &members = job.occurrences[key.occurrence].steps[key.step];
-    markDirty(key);
     if (kind == EndKind::Done && !step.longRunning) {
-        task.phase = TaskPhase::Done;
-        if (step.gang) {
-            for (Task &member : members) {
-                member.phase = TaskPhase::Done;
-            }
-        }
-        completeIfDone(job);
+        completeTask(job, key, run);
         return;
     }
+    markDirty(key);
     task.phase = TaskPhase::Waiting;
     if (!checkpoint.empty()) {
         task.checkpoint = checkpoint;
@@ -103,6 +112,24 @@
     }
 }
 
+void JobEngine::completeTask(Job &job, const TaskKey &key, std::int64_t run)
+{
+    const bool gang = job.step(key).gang;
+    std::vector<Task> &tasks = job.occurrences[key.occurrence].steps[key.step];
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (!gang && i != key.index) {
+            continue;
+        }
+        Task &task = tasks[i];
+        if (task.phase == TaskPhase::Assigned && task.run > run) {
+            stopRun(task.worker, {TaskKey{key.job, key.occurrence, key.step, i}, task.run});
+        }
+        task.phase = TaskPhase::Done;
+    }
+    markDirty(key);
+    completeIfDone(job);
+}
+
 void JobEngine::countFailure(Job &job, const TaskKey &key, const WorkerId &worker)
 {
     const StepSpec &step = job.step(key);
@@ -278,7 +305,7 @@
         worker.lastProcessedEnd = end.number;
         m_workersWithUnstoredEnds.insert(worker.report.id);
         ++m_counts.ended[end.kind];
-        const EndEffect effect = effectOf(worker, {end.task, end.run});
+        const EndEffect effect = effectOf(worker, {end.task, end.run}, end.kind);
         const Job *ofJob = findJobOf(end.task);
         logEvent(LogLevel::Info,
                  "run-ended",
@@ -289,8 +316,7 @@
                   {"end", end.number},
                   {"effect", endEffectName(effect)},
                   {"latest_run", ofJob == nullptr ? 0 : ofJob->task(end.task).run}});
-        const bool completed = end.kind == EndKind::Done && effect == EndEffect::Ignored;
-        if (completed && ofJob->task(end.task).phase != TaskPhase::Done) {
+        if (effect == EndEffect::CompletesTask) {
             ++m_counts.completedAfterGivenUp;
         }
         recordHealth(worker, end);
