Workflow: the limit of tasks per worker counts runs that are being stopped (ROUTE)

What callers would see: more tasks of a step on one worker than its limit (max_per_server).

Cause: tasks already placed were counted by their phase. A task that an earlier run completed is done at once, while its later run goes on until the worker has stopped it, up to stop_ms. A waiting task of the step could start beside it. Runs that nobody asked for were not counted either.

FakeWorkers checks the limit at every start of every test from here on.

Why this works: the runs that a worker has, or may have, are counted, whatever the phase of their tasks.

Further tests of GivenUpRun, which pass before and after: the last task of a job, the next owner of a completed job whose second run goes on, a start that waits for the store, a cancelled job. The test with a gang now ends the cut of one worker only, so that one member's end has to count for all.

--- a/include/corianderscale/Workflow/Advisor.h
+++ b/include/corianderscale/Workflow/Advisor.h
@@ -11,15 +11,6 @@
 
 namespace coriander::workflow {
 
-/** Names a step of one occurrence of a job. */
-struct StepKey {
-    JobId job;
-    std::size_t occurrence = 0;
-    std::size_t step = 0;
-
-    auto operator<=>(const StepKey &) const = default;
-};
-
 /** The advisor's answer: which of the workers in the question may run the step. */
 struct Advice {
     /** Approved workers, each with the ticket that a start on it has to carry. */
--- a/include/corianderscale/Workflow/JobSpec.h
+++ b/include/corianderscale/Workflow/JobSpec.h
@@ -92,6 +92,15 @@
     auto operator<=>(const TaskKey &) const = default;
 };
 
+/** Names a step of one occurrence of a job. */
+struct StepKey {
+    JobId job;
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+
+    auto operator<=>(const StepKey &) const = default;
+};
+
 /** A task and the number of one of its runs. */
 using RunKey = std::pair<TaskKey, std::int64_t>;
 
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -132,6 +132,9 @@
     /** Removes a run and frees its capacity; returns whether the worker had the run. */
     bool removeRun(Worker &worker, const RunKey &key);
 
+    /** Number of runs of the step on each worker that has any, runs that are being stopped included. */
+    std::map<WorkerId, std::size_t> countRuns(const StepKey &step) const;
+
     /** Capacity of a worker that no run uses; negative where runs use more than the worker reports. */
     static decision::Resources freeCapacity(const Worker &worker);
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -243,11 +243,11 @@
     if (candidate.queue->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
     }
+    if (need.maximumPerWorker > 0) {
+        need.placedTasks = m_workers.countRuns(stepKey(candidate));
+    }
     const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
     for (const Task &task : all) {
-        if (task.phase == TaskPhase::Assigned) {
-            ++need.placedTasks[task.worker];
-        }
         need.avoid.insert(task.failedOn.begin(), task.failedOn.end());
     }
     return need;
--- a/lib/Workflow/WorkerTable.cpp
+++ b/lib/Workflow/WorkerTable.cpp
@@ -57,6 +57,22 @@
     return true;
 }
 
+std::map<WorkerId, std::size_t> WorkerTable::countRuns(const StepKey &step) const
+{
+    std::map<WorkerId, std::size_t> counts;
+    for (const auto &[id, worker] : m_workers) {
+        const auto isOfStep = [&step](const auto &each) {
+            const TaskKey &task = each.first.first;
+            return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
+        };
+        const auto count = std::count_if(worker.runs.begin(), worker.runs.end(), isOfStep);
+        if (count > 0) {
+            counts[id] = static_cast<std::size_t>(count);
+        }
+    }
+    return counts;
+}
+
 decision::Resources WorkerTable::freeCapacity(const Worker &worker)
 {
     return minus(worker.report.capacity, worker.used);
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -122,6 +122,7 @@
             behaviour.resources = spec.steps[s].perTask;
             behaviour.gang = spec.steps[s].gang;
             behaviour.gangSize = spec.steps[s].tasks;
+            behaviour.maximumPerWorker = spec.steps[s].maximumPerWorker;
             workers.setBehaviour(spec.id, s, behaviour);
         }
         specs[spec.id] = spec;
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -80,6 +80,8 @@
         bool gang = false;
         std::size_t gangSize = 1;
         decision::Resources resources;
+        /** Maximum number of tasks of the step on one worker; 0 for no limit. */
+        std::size_t maximumPerWorker = 0;
     };
 
     /** A run in progress. */
@@ -337,6 +339,16 @@
         return text;
     }
 
+    static std::size_t runsOfStep(const Machine &machine, const TaskKey &task)
+    {
+        std::size_t count = 0;
+        for (const auto &[key, run] : machine.runs) {
+            const TaskKey &each = key.first;
+            count += each.job == task.job && each.occurrence == task.occurrence && each.step == task.step ? 1 : 0;
+        }
+        return count;
+    }
+
     void extendLease(Machine &machine, WorkerClockMs until)
     {
         const std::int64_t most = machine.clock(m_timeline.now()) + LongestLeaseMs;
@@ -364,6 +376,10 @@
         EXPECT_TRUE(fitsInto(used, machine.report.capacity))
             << "CAPACITY EXCEEDED on " << machine.report.id << listRuns(machine) << " and " << toString(key.first)
             << "/" << key.second;
+        const std::size_t ofStep = runsOfStep(machine, key.first) + 1;
+        EXPECT_TRUE(behaviour.maximumPerWorker == 0 || ofStep <= behaviour.maximumPerWorker)
+            << "LIMIT PER WORKER EXCEEDED on " << machine.report.id << listRuns(machine) << " and "
+            << toString(key.first) << "/" << key.second;
         const std::uint64_t serial = ++m_serial;
         machine.runs[key] = {m_timeline.now(), behaviour.resources, serial};
         m_running[key.first] = key.second;
--- a/unittests/Workflow/GivenUpRunTest.cpp
+++ b/unittests/Workflow/GivenUpRunTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "Workflow/EngineHarness.h"
 
 namespace coriander::workflow {
@@ -23,6 +25,11 @@
         StepSpec second = stepOf(1, 1, 1);
         second.after = {0};
         m_harness.submit(m_harness.job("j", 1, {std::move(first), second}), {.work = WorkTime});
+        cutOffBusyWorkers();
+    }
+
+    void cutOffBusyWorkers()
+    {
         m_harness.runFor(seconds(1));
         for (auto &[id, machine] : m_harness.workers.machines()) {
             machine.isCutOff = !machine.runs.empty();
@@ -43,6 +50,15 @@
         }
     }
 
+    void endCutOfOneWorker()
+    {
+        auto &machines = m_harness.workers.machines();
+        const auto cut
+            = std::find_if(machines.begin(), machines.end(), [](const auto &each) { return each.second.isCutOff; });
+        ASSERT_NE(cut, machines.end());
+        cut->second.isCutOff = false;
+    }
+
     bool runUntil(Duration most, const std::function<bool()> &reached)
     {
         const MonotonicTime end = m_harness.timeline.now() + most;
@@ -102,7 +118,7 @@
     submitAndCutOff(gang);
     giveUpRuns();
     ASSERT_EQ(starts(0), 2U);
-    endCut();
+    endCutOfOneWorker();
     EXPECT_TRUE(runUntil(ReactionTime, [this] { return starts(1) == 1; }));
     m_harness.runFor(seconds(1));
     EXPECT_EQ(m_harness.workers.runningTasks(), 1U) << "members of the second run go on although the gang is done";
@@ -129,6 +145,89 @@
     EXPECT_EQ(starts(0), 1U);
 }
 
+// Guards against a job whose only open task is completed by such a run, and that is not shown as completed.
+TEST_F(GivenUpRun, completionOfTheLastTaskCompletesTheJob)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = WorkTime});
+    cutOffBusyWorkers();
+    giveUpRuns();
+    ASSERT_EQ(starts(0), 2U);
+    endCut();
+    EXPECT_TRUE(runUntil(ReactionTime, [this] { return isCompleted(); }));
+    m_harness.runFor(seconds(1));
+    EXPECT_EQ(m_harness.workers.runningTasks(), 0U);
+}
+
+// Guards against capacity that is used twice: the rows of the completed job are gone, but its second run goes on at a
+// worker that does not answer, and the next owner knows nothing of it.
+TEST_F(GivenUpRun, nextOwnerFindsTheSecondRunOfACompletedJob)
+{
+    m_harness.submit(m_harness.job("j", 1, {stepOf(1, 32, 8)}), {.work = WorkTime});
+    cutOffBusyWorkers();
+    giveUpRuns();
+    ASSERT_EQ(starts(0), 2U);
+    for (auto &[id, machine] : m_harness.workers.machines()) {
+        machine.isCutOff = !machine.runs.empty();
+    }
+    ASSERT_TRUE(runUntil(seconds(4), [this] { return isCompleted(); }));
+    ASSERT_EQ(m_harness.workers.runningTasks(), 1U);
+    m_harness.endOwner(false);
+    m_harness.startOwner();
+    m_harness.submit(m_harness.job("k", 1, {stepOf(12, 32, 8)}), {.work = seconds(3)});
+    m_harness.runFor(milliseconds(1500));
+    endCut();
+    m_harness.runFor(seconds(20));
+    EXPECT_EQ(m_harness.storedState(JobId("k")), JobState::Completed);
+    EXPECT_EQ(m_harness.workers.runningTasks(), 0U);
+}
+
+// Guards against a start that is sent after the task was completed; it waited for the store.
+TEST_F(GivenUpRun, assignedTaskIsNotStartedAfterItsCompletionWasListed)
+{
+    submitAndCutOff(stepOf(1, 1, 1));
+    m_harness.runFor(WorkTime);
+    m_harness.store.isUnreachable = true;
+    giveUpRuns();
+    ASSERT_EQ(starts(0), 1U);
+    endCut();
+    m_harness.runFor(ReactionTime);
+    m_harness.store.isUnreachable = false;
+    m_harness.runFor(ReactionTime);
+    EXPECT_EQ(starts(0), 1U);
+    EXPECT_EQ(starts(1), 1U);
+}
+
+// Guards against a cancelled job that such a run turns into a completed one.
+TEST_F(GivenUpRun, cancelledJobStaysCancelled)
+{
+    submitAndCutOff(stepOf(1, 1, 1));
+    giveUpRuns();
+    ASSERT_EQ(starts(0), 2U);
+    m_harness.cancel(JobId("j"));
+    endCut();
+    m_harness.runFor(seconds(5));
+    EXPECT_EQ(m_harness.storedState(JobId("j")), JobState::Cancelled);
+    EXPECT_EQ(m_harness.workers.runningTasks(), 0U);
+}
+
+// Guards against more tasks of a step on one worker than its limit: the second run, which is being stopped, counts too.
+TEST_F(GivenUpRun, limitPerWorkerCountsRunsThatAreBeingStopped)
+{
+    StepSpec step = stepOf(24, 1, 1);
+    step.maximumPerWorker = 1;
+    m_harness.submit(m_harness.job("j", 1, {step}), {.work = WorkTime});
+    m_harness.runFor(seconds(1));
+    FakeWorkers::Machine &cut = m_harness.workers.machines().begin()->second;
+    ASSERT_EQ(cut.runs.size(), 1U);
+    cut.isCutOff = true;
+    const TaskKey task = cut.runs.begin()->first.first;
+    ASSERT_TRUE(runUntil(seconds(30), [this, &task] { return m_harness.workers.starts(task) == 2; }));
+    m_harness.runFor(milliseconds(500));
+    endCut();
+    m_harness.runFor(seconds(60));
+    EXPECT_TRUE(isCompleted());
+}
+
 // Guards against the loss of a completion that is listed to the next owner, which knows only the second run.
 TEST_F(GivenUpRun, completionThatIsListedToTheNextOwnerCounts)
 {
