Workflow: the end of a run counts whatever incarnation its task names

What callers would see: a job that never ends. One of its tasks stays assigned although no worker has the run, so it is neither started again nor completed.

Cause: after a worker was restarted, the tasks of its unclear starts get the new incarnation. If the owner ends when only some of the changed rows are stored, the rows name two incarnations of one worker. restoreJob() gives the worker the incarnation of the first task that it meets. The ends of the other runs were ignored, because the owner took an end into account only if the task named the worker's incarnation; the run was removed and its task stayed assigned.

Evidence: RestoredIncarnation.tasksOfBothIncarnationsRunAgain, which rewrites one of two stored rows, failed before (job b was still running after 20 s) and passes now.

Why this works: a run number is used once for each task, and the answers of an earlier incarnation are left out before their ends are processed. The number and the worker identify the run, so the comparison decided nothing except this case.

--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -49,8 +49,8 @@
         return EndEffect::TaskUnknown;
     }
     const Task &task = job->task(key.first);
-    const bool current = task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id
-        && task.incarnation == worker.report.incarnation;
+    // A run number is used once for each task, so it identifies the run; the stored incarnation may be outdated.
+    const bool current = task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id;
     if (current) {
         return EndEffect::CurrentRun;
     }
