Workflow: the answer to a hold is judged by the time that hold was sent

What callers would see: a run is stopped soon after its start and started again, and a worker is asked twice at a time for as long as it has runs.

Cause: the worker's entry keeps the sending time of one hold. The entry is erased when the worker is not listed any more and has no runs, and holdInFlight is cleared when the worker's leases have ended, although a hold may be under way. Once the worker is listed again under the same incarnation a second hold is sent. The answer to either one ended the other's turn, so two stayed under way, and a run that an answer does not list was compared with the sending time of the latest hold: an answer from before a start looked like one after it.

Evidence: both tests of OvertakenAnswer failed before (a stop was sent; 3 holds where 2 were expected) and pass now.

Why this works: a completion carries the time at which its own hold was sent. Runs are compared with that, and only the answer to the latest hold ends its turn.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -290,8 +290,14 @@
     void stopAnswered(const Addressee &to, const RunKey &key, const OrderAnswer &answer);
     void sendDueHold(Worker &worker, MonotonicTime now);
     bool isHoldDue(const Worker &worker, MonotonicTime now) const;
-    /** @p acknowledged is the highest number of an end that the hold told the worker to forget. */
-    void holdAnswered(const Addressee &to, std::int64_t acknowledged, const HoldAnswer &answer);
+    /** A hold that was sent; its worker may have been forgotten and listed again since, and have a later hold. */
+    struct SentHold {
+        Addressee to;
+        MonotonicTime sentAt;
+        /** Highest number of an end that the hold told the worker to forget. */
+        std::int64_t acknowledged = 0;
+    };
+    void holdAnswered(const SentHold &hold, const HoldAnswer &answer);
     /** Records what the end of a run shows about its worker. */
     void recordHealth(Worker &worker, const EndedTask &end);
     /** Counts a failed run, and gives the worker no new work for a while if it is to blame. */
@@ -300,7 +306,8 @@
     /** Makes sure that the next run of a waiting task gets a higher number than @p run. */
     void raiseRunNumber(const TaskKey &key, std::int64_t run);
     void processRunning(Worker &worker, const std::vector<RunningTask> &running);
-    void checkUnlistedRuns(Worker &worker, const HoldAnswer &answer);
+    /** Deals with runs that the answer to a hold sent at @p sentAt does not list. */
+    void checkUnlistedRuns(Worker &worker, MonotonicTime sentAt, const HoldAnswer &answer);
     /** Records an answer, or that none arrived. Returns false if none arrived, another worker answered at the address,
      * or the worker has seen a higher epoch. */
     bool recordAnswer(Worker &worker, const OrderAnswer &answer);
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -303,28 +303,27 @@
     worker.holdInFlight = true;
     worker.holdSentAt = now;
     worker.holdDueAt = now + order.wait;
-    m_orders.hold(
-        targetOf(worker),
-        order,
-        [this, alive = std::weak_ptr<int>(m_alive), to = addresseeOf(worker), acknowledged = order.acknowledgedThrough](
-            const HoldAnswer &answer) {
-            if (alive.lock()) {
-                holdAnswered(to, acknowledged, answer);
-            }
-        });
+    const SentHold hold{addresseeOf(worker), now, order.acknowledgedThrough};
+    m_orders.hold(targetOf(worker), order, [this, alive = std::weak_ptr<int>(m_alive), hold](const HoldAnswer &answer) {
+        if (alive.lock()) {
+            holdAnswered(hold, answer);
+        }
+    });
 }
 
-void JobEngine::holdAnswered(const Addressee &to, std::int64_t acknowledged, const HoldAnswer &answer)
+void JobEngine::holdAnswered(const SentHold &hold, const HoldAnswer &answer)
 {
-    Worker *worker = findAddressee(to);
+    Worker *worker = findAddressee(hold.to);
     if (worker == nullptr) {
         return;
     }
     if (answer.outcome == OrderOutcome::Done) {
-        worker->lastAcknowledgedEnd = std::max(worker->lastAcknowledgedEnd, acknowledged);
+        worker->lastAcknowledgedEnd = std::max(worker->lastAcknowledgedEnd, hold.acknowledged);
     }
     const MonotonicTime now = m_clock.now();
-    worker->holdInFlight = false;
+    if (hold.sentAt == worker->holdSentAt) {
+        worker->holdInFlight = false;
+    }
     worker->nextHoldAt = now + m_times.retryAfter;
     if (!recordAnswer(*worker, answer) || answer.outcome != OrderOutcome::Done) {
         return;
@@ -340,15 +339,14 @@
     worker->lastHoldAt = now;
     processEnds(*worker, answer.ended);
     processRunning(*worker, answer.running);
-    checkUnlistedRuns(*worker, answer);
+    checkUnlistedRuns(*worker, hold.sentAt, answer);
     const bool endsOpen = worker->lastProcessedEnd > worker->lastStoredEnd;
     worker->nextHoldAt = endsOpen ? now + m_times.unstoredRunEndsPause : now;
 }
 
-void JobEngine::checkUnlistedRuns(Worker &worker, const HoldAnswer &answer)
+void JobEngine::checkUnlistedRuns(Worker &worker, MonotonicTime sentAt, const HoldAnswer &answer)
 {
     const MonotonicTime now = m_clock.now();
-    const MonotonicTime sentAt = worker.holdSentAt;
     if (answer.moreEnds) {
         // A run in neither list may have ended; its end is listed after earlier ones are stored and forgotten.
         logEvent(LogLevel::Info,
