Transport: a call ends at its deadline even between two reads

What callers would see: an order to a worker or a call to the store that never ends. A worker whose hold never ends is not asked any more and does not count as silent, so its ends stay unknown and its runs are not given up.

Cause: the timer of a call cancelled the operations of its socket. If the event loop stood still beyond the deadline and a part of the response had arrived, the timer expired between two reads of the response: nothing was there to cancel, the next read started, and no timer was left.

Evidence: AsyncHttp.partOfAResponseAtTheDeadlineCausesTimeout failed before (no end within 10 s) and passes now.

Why this works: the timer closes the socket, so the next part of the operation fails. A connection whose socket was closed while the response was completed is not kept. A wait that had ended before it could be cancelled is recognised by the later expiry of its timer, so it does not close the socket of a later call.

--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -122,7 +122,7 @@
         }
         m_closed = true;
         endIdle();
-        m_timer.cancel();
+        stopTimer();
         boost::system::error_code ignored;
         m_socket.close(ignored);
         Pool &own = pool();
@@ -151,18 +151,25 @@
         m_timer.expires_at(deadline);
         m_timer.async_wait([weak = weak_from_this()](boost::system::error_code code) {
             const std::shared_ptr<Connection> self = weak.lock();
-            if (code || !self || self->m_closed) {
+            // A wait that had ended before it could be cancelled is recognised by the later expiry.
+            if (code || !self || self->m_closed || self->m_timer.expiry() > std::chrono::steady_clock::now()) {
                 return;
             }
             self->m_timedOut = true;
+            // cancel() would have no effect between two parts of a read or write; after close() the next part fails.
             boost::system::error_code ignored;
-            self->m_socket.cancel(ignored);
+            self->m_socket.close(ignored);
         });
     }
 
+    void stopTimer()
+    {
+        m_timer.expires_at(SteadyTime::max());
+    }
+
     void onConnected(boost::system::error_code code)
     {
-        if (code) {
+        if (code || m_timedOut) {
             finishWithError(code);
             return;
         }
@@ -216,7 +223,7 @@
 
     void finish()
     {
-        m_timer.cancel();
+        stopTimer();
         http::response<http::string_body> &message = m_parser->get();
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
@@ -224,7 +231,7 @@
             response.headers.emplace(std::string(field.name_string()), std::string(field.value()));
         }
         response.body = std::move(message.body());
-        const bool keep = message.keep_alive();
+        const bool keep = message.keep_alive() && !m_timedOut;
         const AsyncHttpCompletion done = std::move(m_call.done);
         m_call = {};
         m_parser.reset();
--- a/unittests/Transport/AsyncHttpTest.cpp
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace coriander {
@@ -192,6 +193,28 @@
     EXPECT_TRUE(result.response) << result.error.reason;
 }
 
+// Guards against a call that never ends: part of the response arrives while the event loop stands still beyond the
+// deadline, so that the timer expires between two reads.
+TEST_F(AsyncHttp, partOfAResponseAtTheDeadlineCausesTimeout)
+{
+    constexpr Duration Limit = milliseconds(200);
+    Tcp::acceptor acceptor(m_loop, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    Result result;
+    m_client.send(address, {}, Limit, [&result](const auto &response, const TransportError &error) {
+        result = {true, response, error};
+    });
+    m_loop.run_for(Limit / 4);
+    m_loop.restart();
+    ASSERT_FALSE(result.done);
+    Tcp::socket peer = acceptor.accept();
+    asio::write(peer, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n" + std::string(2000, 'x')));
+    std::this_thread::sleep_for(Limit);
+    runUntil([&result] { return result.done; });
+    EXPECT_EQ(result.error.code, TransportCode::Timeout);
+    EXPECT_EQ(m_client.connections(), 0U);
+}
+
 // Guards against an owner of thousands of workers that uses up all descriptors, so that it accepts no callers.
 TEST_F(AsyncHttp, connectionsToAllAddressesStayBelowTheLimit)
 {
