Transport: a waiting call gets its connection although others ran out of time

What callers would see: an order that is neither sent nor failed, for as long as no other call of the instance ends.

Cause: at the limit on all connections the addresses of waiting calls queue up. When a call ends, the first address gets a turn. If its calls had run out of time, the turn left the room unused, and the next address waited for the end of a further call, of which there may be none.

Evidence: AsyncHttp.waitingCallStartsAfterOthersRanOutOfTime failed before (no end within 10 s) and passes now.

Why this works: turns are given until the room is used or no address waits. An address that finds no room queues up again, which happens only when there is none, so the loop ends.

--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -56,6 +56,8 @@
     void send(const std::string &address, Call call);
     void startQueued(const std::string &address);
     void closeIdle(const std::string &address);
+    /** Whether one more connection may be open, possibly after an idle one is closed. */
+    bool hasRoom() const;
     /** Makes room for one more connection; returns false if all connections are in use. */
     bool makeRoom();
     /** Starts requests that wait because all connections were in use. */
@@ -340,6 +342,11 @@
     }
 }
 
+bool AsyncHttpClient::Implementation::hasRoom() const
+{
+    return m_settings.maximumConnections == 0 || m_openConnections < m_settings.maximumConnections || !m_idle.empty();
+}
+
 bool AsyncHttpClient::Implementation::makeRoom()
 {
     if (m_settings.maximumConnections == 0 || m_openConnections < m_settings.maximumConnections) {
@@ -356,13 +363,13 @@
 
 void AsyncHttpClient::Implementation::startWaiting()
 {
-    if (m_waiting.empty()) {
-        return;
-    }
-    const std::string address = std::move(m_waiting.front());
-    m_waiting.pop_front();
-    if (m_pools.count(address) > 0) {
-        startQueued(address);
+    // The requests of an address may have run out of time, so its turn may leave room for the next one.
+    while (!m_waiting.empty() && hasRoom()) {
+        const std::string address = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        if (m_pools.count(address) > 0) {
+            startQueued(address);
+        }
     }
 }
 
--- a/unittests/Transport/AsyncHttpTest.cpp
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -247,5 +247,36 @@
     EXPECT_EQ(failed, 0U);
 }
 
+// Guards against a call that never ends: the calls that waited for a connection before it have run out of time, and no
+// other call ends after that.
+TEST_F(AsyncHttp, waitingCallStartsAfterOthersRanOutOfTime)
+{
+    AsyncHttpClient client(m_loop, {.maximumConnections = 1});
+    AsyncHttpServer other(
+        m_loop, AsyncHttpLimits{}, [](const HttpRequest &, const AsyncHttpRespond &respond) { respond({}); });
+    TransportError error;
+    ASSERT_TRUE(other.listen("127.0.0.1:0", error)) << error.reason;
+    std::size_t ended = 0;
+    const auto countEnd = [&ended](const auto &, const TransportError &) {
+        ++ended;
+    };
+    HttpRequest late;
+    late.path = "/late";
+    client.send(address(), late, milliseconds(200), countEnd);
+    const std::string unusedAddress = "127.0.0.1:9";
+    client.send(unusedAddress, {}, milliseconds(100), countEnd);
+    client.send(unusedAddress, {}, milliseconds(100), countEnd);
+    Result result;
+    client.send("127.0.0.1:" + std::to_string(other.port()),
+                {},
+                seconds(5),
+                [&result](const auto &response, const TransportError &failure) {
+                    result = {true, response, failure};
+                });
+    runUntil([&result] { return result.done; });
+    EXPECT_TRUE(result.response) << result.error.reason;
+    EXPECT_EQ(ended, 3U);
+}
+
 } // namespace
 } // namespace coriander
