Transport: a call that finds no connection ends at its deadline

What callers would see: a call that ends seconds after its time limit, if all connections are in use.

Cause: waiting calls that had run out of time were failed only when another call ended.

Evidence: AsyncHttp.callThatFindsNoConnectionEndsInTime failed before (100 ms limit, ended after 5 s with the call before it) and passes now.

Why this works: a call that is left waiting gets a timer at its deadline, which fails what is out of time.

--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -55,6 +55,10 @@
 
     void send(const std::string &address, Call call);
     void startQueued(const std::string &address);
+    /** Fails the queued requests to @p address that are out of time. */
+    void failExpired(const std::string &address);
+    /** Calls failExpired() at @p deadline. */
+    void watchQueue(const std::string &address, SteadyTime deadline);
     void closeIdle(const std::string &address);
     /** Whether one more connection may be open, possibly after an idle one is closed. */
     bool hasRoom() const;
@@ -309,20 +313,46 @@
         fail(std::move(call.done), {TransportCode::LimitExceeded, address + ": too many requests wait"});
         return;
     }
+    const SteadyTime deadline = call.deadline;
     pool.queued.push_back(std::move(call));
     startQueued(address);
+    if (!pool.queued.empty()) {
+        watchQueue(address, deadline);
+    }
+}
+
+void AsyncHttpClient::Implementation::failExpired(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found == m_pools.end()) {
+        return;
+    }
+    std::deque<Call> &queued = found->second.queued;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (Call &call : queued) {
+        if (call.deadline <= now) {
+            fail(std::move(call.done), {TransportCode::Unreachable, address + ": no connection became free in time"});
+        }
+    }
+    std::erase_if(queued, [now](const Call &call) { return call.deadline <= now; });
+}
+
+void AsyncHttpClient::Implementation::watchQueue(const std::string &address, SteadyTime deadline)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_loop, deadline);
+    timer->async_wait([weak = weak_from_this(), timer, address](boost::system::error_code code) {
+        const std::shared_ptr<Implementation> self = weak.lock();
+        if (!code && self) {
+            self->failExpired(address);
+        }
+    });
 }
 
 void AsyncHttpClient::Implementation::startQueued(const std::string &address)
 {
+    failExpired(address);
     Pool &pool = m_pools[address];
     while (!pool.queued.empty()) {
-        if (pool.queued.front().deadline <= std::chrono::steady_clock::now()) {
-            fail(std::move(pool.queued.front().done),
-                 {TransportCode::Unreachable, address + ": no connection became free in time"});
-            pool.queued.pop_front();
-            continue;
-        }
         std::shared_ptr<Connection> connection;
         if (!pool.idle.empty()) {
             connection = pool.idle.back();
--- a/unittests/Transport/AsyncHttpTest.cpp
+++ b/unittests/Transport/AsyncHttpTest.cpp
@@ -278,5 +278,23 @@
     EXPECT_EQ(ended, 3U);
 }
 
+// Guards against a call that ends long after its time limit because no connection becomes free.
+TEST_F(AsyncHttp, callThatFindsNoConnectionEndsInTime)
+{
+    AsyncHttpClient client(m_loop, {.maximumConnectionsPerAddress = 1});
+    HttpRequest late;
+    late.path = "/late";
+    bool firstEnded = false;
+    client.send(
+        address(), late, seconds(5), [&firstEnded](const auto &, const TransportError &) { firstEnded = true; });
+    Result second;
+    client.send(address(), {}, milliseconds(100), [&second](const auto &response, const TransportError &error) {
+        second = {true, response, error};
+    });
+    runUntil([&second] { return second.done; });
+    EXPECT_FALSE(firstEnded);
+    EXPECT_EQ(second.error.code, TransportCode::Unreachable);
+}
+
 } // namespace
 } // namespace coriander
