Workflow: the random histories check that an assigned task has a run

An assigned task ends only with its run, so without one its job never ends. The histories check this 4 times a second of their time.

--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -596,6 +596,7 @@
         for (int i = 0; i < 120; ++i) {
             injectEvents();
             m_harness.runFor(milliseconds(250));
+            expectRunsOfAssignedTasks();
         }
         recoverAndCheck();
     }
@@ -659,11 +660,44 @@
         });
     }
 
+    /** Cuts a worker off. Its report lapses after 3 s, unless the cut has ended. */
     void cutWorker(const WorkerId &id)
     {
         m_harness.workers.machines().at(id).isCutOff = true;
-        m_harness.timeline.after(milliseconds(draw(14000)),
-                                 [this, id] { m_harness.workers.machines().at(id).isCutOff = false; });
+        m_harness.timeline.after(seconds(3), [this, id] {
+            if (m_harness.workers.machines().at(id).isCutOff && m_harness.engine) {
+                m_harness.engine->handleWorkerUnlisted(id);
+            }
+        });
+        m_harness.timeline.after(milliseconds(draw(14000)), [this, id] {
+            m_harness.workers.machines().at(id).isCutOff = false;
+            m_harness.report(id);
+        });
+    }
+
+    /** An assigned task ends only with its run, so the owner must know the run. */
+    void expectRunsOfAssignedTasks()
+    {
+        if (!m_harness.engine) {
+            return;
+        }
+        std::set<RunKey> runs;
+        for (const auto &[id, worker] : m_harness.engine->workers().all()) {
+            for (const auto &[key, run] : worker.runs) {
+                runs.insert(key);
+            }
+        }
+        for (const auto &[id, spec] : m_harness.specs) {
+            const Job *job = m_harness.engine->job(id);
+            for (std::size_t s = 0; job != nullptr && s < spec.steps.size(); ++s) {
+                for (std::size_t i = 0; i < spec.steps[s].tasks; ++i) {
+                    const TaskKey key{id, 0, s, i};
+                    const Task &task = job->task(key);
+                    EXPECT_TRUE(task.phase != TaskPhase::Assigned || runs.count({key, task.run}) > 0)
+                        << toString(key) << " is assigned and has no run";
+                }
+            }
+        }
     }
 
     void submitOne()
