Workflow: one name and one reading of what an end means for its task

effect of run-ended named a run in one case and an effect in the others; it is counted, completes-task, ignored or task-unknown now. It is computed once for each end, and its comments say which ends are ignored and why a failure of a run that had been given up takes no attempt. The class comment says that the end of a job does not wait for a later run that is being stopped. The check that the run is no later than the task's latest is gone: a start is stored before it is sent, so there is no later run.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -126,7 +126,8 @@
  *
  * A run is treated as existing until one of these holds: the worker lists its end; the worker confirmed a stop and
  * lists neither the run nor its end, and all its ends; the worker's incarnation is gone; all leases of the worker have
- * certainly ended. Only then may the task run again.
+ * certainly ended. Only then may the task run again. The completion of any of its runs completes a task, also when the
+ * run was taken for ended before; the task's latest run is then stopped, which its job's end does not wait for.
  *
  * Thread safety: only on the thread of the event loop. Completions of orders that arrive after destruction are
  * ignored.
@@ -252,23 +253,24 @@
     void failIfOutOfAttempts(Job &job);
 
     // JobEngineRuns.cpp
-    /** What an end that a worker lists means for the task. */
+    /** What an end that a worker lists means for its task. */
     enum class EndEffect {
-        /** The task's current run has ended. */
-        CurrentRun,
-        /** An earlier run, which had been given up, has completed the task. */
+        /** The task's latest run has ended. */
+        Counted,
+        /** A run that had been given up has completed the task. */
         CompletesTask,
-        /** The task is done already; or an earlier run has ended, and the task waits or has a later run. */
+        /** The run had been given up and did not complete the task, or the task or its job needs no end any more. */
         Ignored,
-        /** The job has ended, or has no such task. */
+        /** The job is not known, or has no such task. */
         TaskUnknown,
     };
     static const char *endEffectName(EndEffect effect);
     EndEffect effectOf(const Worker &worker, const RunKey &key, EndKind kind) const;
-    void runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint);
+    void runEnded(
+        Worker &worker, const RunKey &key, EndKind kind, EndEffect effect, const std::string &checkpoint = {});
     void runGone(Worker &worker, const RunKey &key, const char *cause);
     void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
-    /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs later than @p run. */
+    /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs other than @p run. */
     void completeTask(Job &job, const TaskKey &key, std::int64_t run);
     void countFailure(Job &job, const TaskKey &key, const WorkerId &worker);
     void stopGang(Job &job, const TaskKey &key, std::int64_t run);
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -30,8 +30,8 @@
 const char *JobEngine::endEffectName(EndEffect effect)
 {
     switch (effect) {
-    case EndEffect::CurrentRun:
-        return "current-run";
+    case EndEffect::Counted:
+        return "counted";
     case EndEffect::CompletesTask:
         return "completes-task";
     case EndEffect::Ignored:
@@ -50,22 +50,23 @@
     }
     const Task &task = job->task(key.first);
     // A run number is used once for each task, so it identifies the run; the stored incarnation may be outdated.
-    const bool current = task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id;
-    if (current) {
-        return EndEffect::CurrentRun;
-    }
-    // A run is given up because nothing is heard of it; that it was completed overrides this.
-    const bool completes = kind == EndKind::Done && key.second <= task.run && task.phase != TaskPhase::Done
-        && !job->step(key.first).longRunning && !isFinal(job->state);
-    return completes ? EndEffect::CompletesTask : EndEffect::Ignored;
+    if (task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id) {
+        return EndEffect::Counted;
+    }
+    // A run is given up because nothing is heard of it; that it was completed overrides this. Other ends do not: the
+    // task waits or runs again, and a failure before the lease ended takes no attempt.
+    const bool open = task.phase != TaskPhase::Done && !isFinal(job->state);
+    const bool completes = kind == EndKind::Done && !job->step(key.first).longRunning;
+    return open && completes ? EndEffect::CompletesTask : EndEffect::Ignored;
 }
 
-void JobEngine::runEnded(Worker &worker, const RunKey &key, EndKind kind, const std::string &checkpoint)
+void JobEngine::runEnded(
+    Worker &worker, const RunKey &key, EndKind kind, EndEffect effect, const std::string &checkpoint)
 {
     m_workers.removeRun(worker, key);
     m_planWanted = true;
-    switch (effectOf(worker, key, kind)) {
-    case EndEffect::CurrentRun:
+    switch (effect) {
+    case EndEffect::Counted:
         taskEnded(*findJobOf(key.first), key.first, kind, checkpoint, worker.report.id);
         break;
     case EndEffect::CompletesTask:
@@ -83,7 +84,7 @@
              "run-gone",
              {{"task", toString(key.first)}, {"run", key.second}, {"worker", worker.report.id}, {"cause", cause}});
     // LeaseLapsed stands for every cause: the task waits again and no failure is counted.
-    runEnded(worker, key, EndKind::LeaseLapsed, {});
+    runEnded(worker, key, EndKind::LeaseLapsed, effectOf(worker, key, EndKind::LeaseLapsed));
     if (Job *job = findJobOf(key.first)) {
         returnToQueue(*job);
     }
@@ -121,7 +122,7 @@
             continue;
         }
         Task &task = tasks[i];
-        if (task.phase == TaskPhase::Assigned && task.run > run) {
+        if (task.phase == TaskPhase::Assigned && task.run != run) {
             stopRun(task.worker, {TaskKey{key.job, key.occurrence, key.step, i}, task.run});
         }
         task.phase = TaskPhase::Done;
@@ -331,7 +332,7 @@
         if (end.kind == EndKind::Failed) {
             recordFailure(worker, end.task);
         }
-        runEnded(worker, {end.task, end.run}, end.kind, end.checkpoint);
+        runEnded(worker, {end.task, end.run}, end.kind, effect, end.checkpoint);
     }
 }
 
