Workflow: workers that are avoided are used for a job that stands still (LOST)

What callers would see: a job stands still for 8 s or more beside idle workers. Each worker with room for it is avoided for 10 s, because two runs of the job failed there, or because it is slow.

Cause: that a worker is avoided is a preference, but it was a condition without an end. Workers that are avoided still come last.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -330,8 +330,8 @@
     MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now);
-    /** Whether the tasks of the step may start outside of the rack that they prefer. */
-    bool mayLeaveRack(const Candidate &candidate, MonotonicTime now);
+    /** See decision::endsPreferences(). */
+    bool endsPreferences(const Candidate &candidate, MonotonicTime now);
     /** Share of the capacity of a pool that is in use, from 0 to 1, as known at the beginning of the planning pass. */
     double usedShare(const ServiceName &service, bool accelerators);
     std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -19,8 +19,9 @@
     /** Rack that stores the step's data; empty if there is none. */
     RackId dataRack;
     bool sameRack = false;
-    /** Whether the tasks may start outside of the rack that they prefer, see decision::mayLeaveRack(). */
-    bool mayLeaveRack = false;
+    /** Whether the tasks may start outside of the rack that they prefer, and on workers that are avoided, see
+     * decision::endsPreferences(). */
+    bool preferencesEnd = false;
     /** Whether the tasks may use reserved workers; if so, reserved workers are preferred. */
     bool urgent = false;
     /** Whether workers whose last run failed are excluded. */
@@ -49,6 +50,8 @@
     /** Whether the worker takes new tasks now. Closed workers get no tasks, but count when it is checked whether
      * a gang could fit if the workers were empty. */
     bool open = false;
+    /** Whether the worker would be open, but is avoided for a while. */
+    bool avoided = false;
     /** Whether only urgent work may use the worker. */
     bool reserved = false;
     /** Whether the worker proved itself since the beginning of the present wave of failures. */
--- a/lib/Decision/RackPreference.cpp
+++ b/lib/Decision/PlacementPreference.cpp
@@ -1,19 +1,19 @@
-#include "corianderscale/Decision/RackPreference.h"
+#include "corianderscale/Decision/PlacementPreference.h"
 
 namespace coriander::decision {
 
 namespace {
 
 /** A job that could run stands still for at most 3 s; the rest is for its starts. */
-constexpr Duration MaximumRackWait = std::chrono::milliseconds(2000);
+constexpr Duration MaximumWait = std::chrono::milliseconds(2000);
 /** A pool of which less is in use counts as idle. */
 constexpr double IdleShare = 0.55;
 
 } // namespace
 
-bool mayLeaveRack(const RackWait &wait)
+bool endsPreferences(const PlacementWait &wait)
 {
-    return !wait.jobRuns && wait.waited >= MaximumRackWait && wait.usedShare < IdleShare;
+    return !wait.jobRuns && wait.waited >= MaximumWait && wait.usedShare < IdleShare;
 }
 
 } // namespace coriander::decision
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -1,4 +1,4 @@
-#include "corianderscale/Decision/RackPreference.h"
+#include "corianderscale/Decision/PlacementPreference.h"
 #include "corianderscale/Decision/WaitingOrder.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
@@ -210,18 +210,14 @@
                         : share(used.cores.count(), total.cores.count());
 }
 
-bool JobEngine::mayLeaveRack(const Candidate &candidate, MonotonicTime now)
+bool JobEngine::endsPreferences(const Candidate &candidate, MonotonicTime now)
 {
-    const StepSpec &step = candidate.job->spec.steps[candidate.step];
     const std::optional<MonotonicTime> since
         = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
-    const bool prefersRack = (step.gang && step.sameRack) || !step.dataRack.empty();
-    if (!prefersRack || !since) {
-        return false;
-    }
-    return decision::mayLeaveRack({now - *since,
-                                   candidate.job->anyAssigned(),
-                                   usedShare(candidate.queue->service, step.perTask.accelerators.count() > 0)});
+    const bool accelerators = candidate.job->spec.steps[candidate.step].perTask.accelerators.count() > 0;
+    return since
+        && decision::endsPreferences(
+               {now - *since, candidate.job->anyAssigned(), usedShare(candidate.queue->service, accelerators)});
 }
 
 PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now)
@@ -237,7 +233,7 @@
     need.requiredLabel = step.requiredLabel;
     need.dataRack = step.dataRack;
     need.sameRack = step.gang && step.sameRack;
-    need.mayLeaveRack = mayLeaveRack(candidate, now);
+    need.preferencesEnd = endsPreferences(candidate, now);
     need.urgent = candidate.queue->priority == 0;
     need.maximumPerWorker = step.maximumPerWorker;
     if (candidate.queue->needsAdvice) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -9,11 +9,10 @@
 
 namespace {
 
-/** Whether @p worker may take new runs at @p now. */
-bool takesWork(const Worker &worker, MonotonicTime now)
+/** Whether @p worker can take new runs. */
+bool takesWork(const Worker &worker)
 {
-    return worker.known && !worker.reportOutdated && worker.silentCalls == 0 && worker.avoidedUntil <= now
-        && worker.clock.has_value();
+    return worker.known && !worker.reportOutdated && worker.silentCalls == 0 && worker.clock.has_value();
 }
 
 /** Number of tasks of @p size that fit into @p room, at most @p most. */
@@ -50,7 +49,8 @@
     bool isOpen(std::size_t index) const
     {
         const BoardEntry &entry = m_board.entries()[index];
-        return entry.open && (m_need.urgent || !entry.reserved);
+        const bool open = entry.open || (entry.avoided && m_need.preferencesEnd);
+        return open && (m_need.urgent || !entry.reserved);
     }
 
     std::size_t slots(std::size_t index) const
@@ -103,7 +103,7 @@
      */
     auto sortKey(const BoardEntry &entry) const
     {
-        const bool avoided = entry.worker->failuresInRow > 0
+        const bool avoided = entry.avoided || entry.worker->failuresInRow > 0
             || (!m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0);
         const decision::Resources left = minus(entry.room, m_need.perTask);
         const bool unreserved = m_need.urgent && !entry.reserved;
@@ -179,8 +179,9 @@
             continue;
         }
         const std::size_t rack = m_racks.try_emplace(worker.report.rack, m_racks.size()).first->second;
-        const bool open = takesWork(worker, now) && silent.count(worker.report.dataCentre) == 0;
-        m_entries.push_back({&worker, WorkerTable::freeCapacity(worker), rack, open});
+        const bool usable = takesWork(worker) && silent.count(worker.report.dataCentre) == 0;
+        const bool avoided = usable && worker.avoidedUntil > now;
+        m_entries.push_back({&worker, WorkerTable::freeCapacity(worker), rack, usable && !avoided, avoided});
     }
 }
 
@@ -237,7 +238,7 @@
         std::erase_if(inRack, [&board, &rack](std::size_t index) { return board.entries()[index].rack != *rack; });
         return placer.take(board, inRack);
     }
-    if (!need.mayLeaveRack && anyRackFitsWhenEmpty(board, placer, need)) {
+    if (!need.preferencesEnd && anyRackFitsWhenEmpty(board, placer, need)) {
         return {};
     }
     return placer.take(board, placer.eligible());
@@ -284,7 +285,7 @@
     const auto inDataRack = [&board, &need](std::size_t index) {
         return board.entries()[index].worker->report.rack == need.dataRack;
     };
-    if (!need.mayLeaveRack && !need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
+    if (!need.preferencesEnd && !need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
         std::erase_if(entries, [&inDataRack](std::size_t index) { return !inDataRack(index); });
     }
     return placer.take(board, entries);
