Workflow: a rack whose workers can never hold a task is not waited for (LOST)

What callers would see: a task whose data lies in a rack of workers without accelerators, or too small for it, waits 2 s for that rack, or for as long as the rest of the pool is busy.

Cause: a task waited for the rack of its data if that had any worker of the pool, whether or not it could hold the task.

--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -282,8 +282,8 @@
 {
     TaskPlacer placer(board, need);
     std::vector<std::size_t> entries = placer.eligible();
-    const auto inDataRack = [&board, &need](std::size_t index) {
-        return board.entries()[index].worker->report.rack == need.dataRack;
+    const auto inDataRack = [&board, &placer, &need](std::size_t index) {
+        return board.entries()[index].worker->report.rack == need.dataRack && placer.capacitySlots(index) > 0;
     };
     if (!need.preferencesEnd && !need.dataRack.empty() && std::any_of(entries.begin(), entries.end(), inDataRack)) {
         std::erase_if(entries, [&inDataRack](std::size_t index) { return !inDataRack(index); });
