Workflow: learn the speeds of workers and run urgent gangs on fast enough ones

Cause: nothing knew a worker's speed. A gang is as slow as its slowest member, and its objective of 1.5 times its work can't be met on a worker of 0.6.

Change: decision::WorkerSpeeds estimates lengths of steps and speeds of workers in turn from the progress of runs. Members of a gang share one piece of work, so their rates show the speeds exactly; other steps weigh less. In an uneven pool urgent steps get workers on which they end before their objective, work that can wait prefers slow workers. Pools with the usual differences are served as before.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corianderscale/Decision/FailureWave.h"
+#include "corianderscale/Decision/WorkerSpeed.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/AdviceCache.h"
 #include "corianderscale/Workflow/Catalogue.h"
@@ -329,6 +330,10 @@
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
     MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
+    /** Sets the speeds of the board's workers, if the pool is uneven. */
+    void markSpeeds(PlacementBoard &board) const;
+    /** Lowest speed of a worker for the candidate's step; 0 for any. */
+    double minimumSpeed(const Candidate &candidate, MonotonicTime now) const;
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now);
     /** See decision::endsPreferences(). */
     bool endsPreferences(const Candidate &candidate, MonotonicTime now);
@@ -393,6 +398,10 @@
     };
     /** Finds slow and stalled workers and moves tasks that would miss their objective there but not elsewhere. */
     void monitorRuns(MonotonicTime now);
+    /** Learns the speeds of workers from the runs of one step. */
+    void observeSpeeds(const Job &job, const StepKey &step, const std::vector<MonitoredRun> &runs);
+    /** Estimates the speeds of workers from all observations; logs when the pool becomes uneven or even. */
+    void updateSpeeds();
     std::vector<MonitoredRun> monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step);
     void monitorStep(Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now);
     /** @p reference is the typical progress of the step's runs, in percent per second; 0 if no run progresses. */
@@ -420,6 +429,7 @@
     std::set<JobId> m_coveredJobs;
     UrgentReserve m_urgentReserve;
     decision::FailureWave m_failureWave;
+    decision::WorkerSpeeds m_workerSpeeds;
     /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
     bool m_waveInPass = false;
     bool m_provenMarked = false;
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -39,6 +39,10 @@
     std::optional<std::set<WorkerId>> approved;
     /** Workers to use only when no other worker has room. */
     std::set<WorkerId> avoid;
+    /** Lowest speed of a worker, see decision::speedNeeded(); 0 for any. */
+    double minimumSpeed = 0;
+    /** Whether the slowest workers are preferred, so that faster ones stay free for urgent work. */
+    bool preferSlow = false;
 };
 
 /** Room on one worker during a planning pass. */
@@ -58,6 +62,10 @@
     bool proven = false;
     /** Whether the worker is reserved in this pass for a waiting gang. */
     bool reservedForGang = false;
+    /** Speed of the worker relative to the typical one; 1 for all workers of an even pool. */
+    double speed = 1;
+    /** Whether the speed was observed. */
+    bool speedKnown = false;
 };
 
 /** The listed workers that are not draining, with the room that a planning pass has not used yet. */
@@ -106,6 +114,9 @@
  */
 std::vector<std::size_t> entriesToReserve(const PlacementBoard &board, const PlacementNeed &need);
 
+/** Whether a rack could hold all tasks of the need if its workers were empty. */
+bool anyRackCanHold(const PlacementBoard &board, const PlacementNeed &need);
+
 /** Places as many of the tasks as fit and takes their room. If the need's data rack has an eligible worker, only that
  * rack is used, else any. Returns an entry for each placed task. */
 std::vector<std::size_t> placeEach(PlacementBoard &board, const PlacementNeed &need);
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -37,6 +37,8 @@
     bool seenRunning = false;
     /** When the worker first listed the run as running. */
     MonotonicTime runningSince;
+    /** Percent done when the worker first listed the run. */
+    int firstPercent = 0;
     int percent = 0;
     /** When @c percent last rose. */
     MonotonicTime progressedAt;
--- a/lib/Workflow/JobEngineMonitor.cpp
+++ b/lib/Workflow/JobEngineMonitor.cpp
@@ -1,7 +1,11 @@
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <functional>
+#include <string>
 
 namespace coriander::workflow {
 
@@ -25,6 +29,9 @@
 /** Maximum number of moves of one task; after that the task itself may be the cause. */
 constexpr int MaximumMovesPerTask = 2;
 constexpr double FullPercent = 100;
+/** A rate over less time or progress is dominated by the rounding to whole percents and by the start of the task. */
+constexpr double MinimumObservedSeconds = 0.4;
+constexpr int MinimumObservedPercent = 8;
 
 /** The upper median of the positive rates, which a few slow runs do not lower; 0 if there are none. */
 double referenceRate(std::vector<double> rates)
@@ -57,6 +64,39 @@
             }
         }
     }
+    updateSpeeds();
+}
+
+void JobEngine::updateSpeeds()
+{
+    const bool wasUneven = m_workerSpeeds.isUneven();
+    m_workerSpeeds.update();
+    if (m_workerSpeeds.isUneven() != wasUneven) {
+        logEvent(LogLevel::Info,
+                 "worker-speeds-changed",
+                 {{"uneven", m_workerSpeeds.isUneven()},
+                  {"observed", m_workerSpeeds.observedWorkers()},
+                  {"workers", m_workers.all().size()},
+                  {"highest_common", m_workerSpeeds.highestCommonSpeed()}});
+    }
+}
+
+void JobEngine::observeSpeeds(const Job &job, const StepKey &step, const std::vector<MonitoredRun> &runs)
+{
+    std::vector<decision::RunRate> rates;
+    for (const MonitoredRun &monitored : runs) {
+        const Run &run = *monitored.run;
+        const double seconds
+            = std::chrono::duration_cast<Seconds>(monitored.worker->lastHoldAt - run.runningSince).count();
+        const int progress = run.percent - run.firstPercent;
+        if (seconds >= MinimumObservedSeconds && progress >= MinimumObservedPercent && run.percent < FullPercent) {
+            rates.push_back({monitored.worker->report.id, progress / FullPercent / seconds});
+        }
+    }
+    const std::size_t id
+        = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job.value(), step.occurrence, step.step));
+    const bool gang = job.spec.steps[step.step].gang;
+    m_workerSpeeds.observe(id, gang ? decision::TaskLikeness::Same : decision::TaskLikeness::Similar, rates);
 }
 
 std::vector<JobEngine::MonitoredRun> JobEngine::monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step)
@@ -81,6 +121,7 @@
     Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now)
 {
     const std::vector<MonitoredRun> runs = monitoredRuns(job, occurrence, step);
+    observeSpeeds(job, {job.spec.id, occurrence, step}, runs);
     std::vector<double> rates;
     for (const MonitoredRun &monitored : runs) {
         rates.push_back(monitored.run->rate.value_or(0));
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -70,6 +70,7 @@
     }
     PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now));
     m_poolUse.clear();
+    markSpeeds(board);
     m_urgentReserve.apply(urgentDemand(), board, now);
     markProvenWorkers(board, now);
     dropExpiredClaims(now);
@@ -81,6 +82,32 @@
     }
 }
 
+void JobEngine::markSpeeds(PlacementBoard &board) const
+{
+    if (!m_workerSpeeds.isUneven()) {
+        return;
+    }
+    for (BoardEntry &entry : board.entries()) {
+        const std::optional<double> speed = m_workerSpeeds.speedOf(entry.worker->report.id);
+        entry.speed = speed.value_or(1);
+        entry.speedKnown = speed.has_value();
+    }
+}
+
+double JobEngine::minimumSpeed(const Candidate &candidate, MonotonicTime now) const
+{
+    const std::optional<MonotonicTime> since
+        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    if (!m_workerSpeeds.isUneven() || candidate.queue->priority != 0 || step.longRunning) {
+        return 0;
+    }
+    return decision::speedNeeded({step.estimate,
+                                  candidate.objective - now,
+                                  since ? now - *since : Duration(0),
+                                  m_workerSpeeds.highestCommonSpeed()});
+}
+
 void JobEngine::pausePlacing(MonotonicTime until)
 {
     m_placingPausedUntil = std::max(m_placingPausedUntil, until);
@@ -235,6 +262,8 @@
     need.sameRack = step.gang && step.sameRack;
     need.preferencesEnd = endsPreferences(candidate, now);
     need.urgent = candidate.queue->priority == 0;
+    need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
+    need.preferSlow = !need.urgent && m_workerSpeeds.isUneven();
     need.maximumPerWorker = step.maximumPerWorker;
     if (candidate.queue->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
@@ -371,6 +400,9 @@
         return;
     }
     PlacementNeed need = needOf(candidate, tasks, now);
+    if (need.sameRack && need.minimumSpeed > 0 && !anyRackCanHold(board, need)) {
+        need.minimumSpeed = 0;
+    }
     // A retry prefers workers that have completed a run, because another failure may fail the job.
     need.requireCompletedRun = hasFailed(candidate, tasks);
     need.excludeFailing = gang && candidate.queue->priority == 0;
@@ -402,7 +434,9 @@
         applyClaim(claim->second, board, true);
         return;
     }
-    reclaim(candidate, needOf(candidate, waitingTasks(candidate), now), board, now);
+    PlacementNeed missing = needOf(candidate, waitingTasks(candidate), now);
+    missing.minimumSpeed = need.minimumSpeed;
+    reclaim(candidate, missing, board, now);
 }
 
 void JobEngine::assign(const Candidate &candidate,
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -211,6 +211,7 @@
               {"from", worker.report.incarnation},
               {"to", incarnation},
               {"runs", worker.runs.size()}});
+    m_workerSpeeds.forget(worker.report.id);
     std::vector<RunKey> gone;
     for (const auto &[key, run] : worker.runs) {
         if (run.seenRunning) {
@@ -420,6 +421,7 @@
             run.runningSince = now;
             run.progressedAt = now;
             run.sampledAt = now;
+            run.firstPercent = each.percent;
             run.samplePercent = each.percent;
         }
         if (each.percent > run.percent) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -1,5 +1,7 @@
 #include "corianderscale/Workflow/Placement.h"
 
+#include "corianderscale/Decision/WorkerSpeed.h"
+
 #include <algorithm>
 #include <limits>
 #include <optional>
@@ -98,8 +100,8 @@
 
     /**
      * Sort key of an entry, the smallest is best: workers away from the data and workers to avoid come last, urgent
-     * work prefers reserved workers, then workers with the least room left after the task come first, compared by
-     * accelerators, cores and memory.
+     * work prefers reserved workers, work that can wait prefers slow ones, then workers with the least room left after
+     * the task come first, compared by accelerators, cores and memory.
      */
     auto sortKey(const BoardEntry &entry) const
     {
@@ -108,8 +110,26 @@
         const decision::Resources left = minus(entry.room, m_need.perTask);
         const bool unreserved = m_need.urgent && !entry.reserved;
         const bool away = !m_need.dataRack.empty() && entry.worker->report.rack != m_need.dataRack;
-        return std::tuple(
-            away, avoided, unreserved, left.accelerators.count(), left.cores.count(), left.memory.count());
+        return std::tuple(away,
+                          avoided,
+                          unreserved,
+                          speedRank(entry),
+                          left.accelerators.count(),
+                          left.cores.count(),
+                          left.memory.count());
+    }
+
+    /** Urgent work that needs a speed prefers workers whose speed is known. Work that can wait prefers slow workers,
+     * and tries unknown ones before those that are known to be fast. */
+    int speedRank(const BoardEntry &entry) const
+    {
+        if (m_need.minimumSpeed > 0) {
+            return entry.speedKnown ? 0 : 1;
+        }
+        if (m_need.preferSlow && entry.speedKnown) {
+            return entry.speed < decision::SlowSpeed ? 0 : 2;
+        }
+        return m_need.preferSlow ? 1 : 0;
     }
 
     std::optional<std::size_t> bestOf(const std::vector<std::size_t> &entries) const
@@ -208,7 +228,8 @@
         const bool lacksCompletedRun = need.requireCompletedRun && worker.runsDone == 0;
         const bool approved = !need.approved || need.approved->count(report.id) > 0;
         const bool unproven = need.requireProven && !m_entries[i].proven;
-        if (report.service != need.service || failing || lacksCompletedRun || unproven || !approved) {
+        const bool tooSlow = m_entries[i].speed < need.minimumSpeed;
+        if (report.service != need.service || failing || lacksCompletedRun || unproven || !approved || tooSlow) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
@@ -238,12 +259,19 @@
         std::erase_if(inRack, [&board, &rack](std::size_t index) { return board.entries()[index].rack != *rack; });
         return placer.take(board, inRack);
     }
-    if (!need.preferencesEnd && anyRackFitsWhenEmpty(board, placer, need)) {
+    // Crossing racks slows a gang down more than a slow worker does.
+    const bool waits = need.minimumSpeed > 0 || (!need.preferencesEnd && anyRackFitsWhenEmpty(board, placer, need));
+    if (waits) {
         return {};
     }
     return placer.take(board, placer.eligible());
 }
 
+bool anyRackCanHold(const PlacementBoard &board, const PlacementNeed &need)
+{
+    return anyRackFitsWhenEmpty(board, TaskPlacer(board, need), need);
+}
+
 std::vector<std::size_t> entriesToReserve(const PlacementBoard &board, const PlacementNeed &need)
 {
     const TaskPlacer placer(board, need);
--- a/lib/Workflow/UrgentReserve.cpp
+++ b/lib/Workflow/UrgentReserve.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Workflow/UrgentReserve.h"
 
+#include "corianderscale/Decision/WorkerSpeed.h"
 #include "corianderscale/Support/Log.h"
 
 #include <algorithm>
@@ -36,8 +37,11 @@
             continue; // It can't serve the demand, which is for accelerators.
         }
         RackUse &rack = racks[worker.report.service][worker.report.rack];
-        rack.entries.push_back(i);
-        rack.capacity += board.entries()[i].open ? capacity : 0;
+        const bool slow = board.entries()[i].speed < decision::SlowSpeed;
+        if (!slow) {
+            rack.entries.push_back(i);
+            rack.capacity += board.entries()[i].open ? capacity : 0;
+        }
         if (!worker.known) {
             continue; // Its entry may come from another writer.
         }
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -111,6 +111,8 @@
         bool isCutOff = false;
         /** Whether the lists of the worker show no progress. */
         bool isStalled = false;
+        /** Speed of the work of its runs; a gang ends with its slowest member. */
+        double speed = 1;
         /** Whether every run that starts here fails soon. */
         bool failsRuns = false;
         /** Whether the worker has left permanently. */
@@ -393,8 +395,9 @@
             return;
         }
         const bool fails = machine.failsRuns || static_cast<int>(m_failed[key.first].size()) < behaviour.failures;
-        const Duration failsAfter = machine.failsRuns ? Duration(milliseconds(150)) : behaviour.work / 2;
-        const Duration work = fails ? failsAfter : behaviour.work;
+        const Duration whole = timeOf(machine, behaviour);
+        const Duration failsAfter = machine.failsRuns ? Duration(milliseconds(150)) : whole / 2;
+        const Duration work = fails ? failsAfter : whole;
         m_timeline.after(work, [this, id = machine.report.id, key, serial, fails] { finish(id, key, serial, fails); });
     }
 
@@ -420,6 +423,11 @@
             breakGang(key, EndKind::GangBroken);
             return;
         }
+        const Duration left = behaviour.gang ? timeToGangEnd(key) : Duration(0);
+        if (left > Duration(0)) {
+            m_timeline.after(left, [this, id, key, serial] { finish(id, key, serial, false); });
+            return;
+        }
         m_done.insert(key.first);
         end(machine, key, EndKind::Done);
         if (behaviour.gang) {
@@ -427,6 +435,30 @@
         }
     }
 
+    /** Time that a run takes on the worker. */
+    static Duration timeOf(const Machine &machine, const TaskBehaviour &behaviour)
+    {
+        return machine.speed == 1 ? behaviour.work
+                                  : std::chrono::duration_cast<Duration>(behaviour.work / machine.speed);
+    }
+
+    /** Time until the slowest member of a gang has done its work. */
+    Duration timeToGangEnd(const RunKey &key) const
+    {
+        Duration left{};
+        for (const auto &[id, machine] : m_machines) {
+            for (const auto &[each, run] : machine.runs) {
+                const bool member = each.first.job == key.first.job && each.first.step == key.first.step
+                    && each.first.occurrence == key.first.occurrence && each.second == key.second;
+                if (member && machine.speed != 1) {
+                    const TaskBehaviour &behaviour = m_behaviour.at({key.first.job, key.first.step});
+                    left = std::max<Duration>(left, run.startedAt + timeOf(machine, behaviour) - m_timeline.now());
+                }
+            }
+        }
+        return left;
+    }
+
     bool gangComplete(const RunKey &key, std::size_t size) const
     {
         std::size_t members = 0;
@@ -543,7 +575,7 @@
         if (behaviour.lasts) {
             return 100;
         }
-        const Duration work = behaviour.work;
+        const Duration work = timeOf(machine, behaviour);
         const Duration ran = m_timeline.now() - machine.runs.at(key).startedAt;
         return static_cast<int>(std::min<std::int64_t>(100, 100 * ran.count() / work.count()));
     }
