Workflow: nothing starts in a data centre that the operator evacuates

What callers saw: the row evacuate/ZONE in the operator's table had no effect. Tasks went on being started in the data centre, which breaks rule EVAC: no start there more than 5,000 ms after the store's acknowledgement.

Cause: only the row of the configuration was read from that table.

The owner follows the rows for its term with one call a second; other instances make no further calls. The engine leaves the workers of evacuated data centres off the planning board, abandons assigned starts that were not sent (with their gangs), drops claims on room there, and leaves the workers out of the use and the size of a pool. It places and sends nothing before the rows were read in the term, nor while the last successful call was sent more than 3,000 ms ago, so that a connection that went silent stops it in time: 3,000 ms and the 1,000 ms of a start order are less than 5,000 ms. A run that was sent continues.

The fake store answers a call without a wait with the changes that there are, as the store does. The fixture of OvertakenAnswer, which drives an engine itself, reports the evacuations as read; its checks are unchanged.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -74,6 +74,10 @@
     Duration maximumDiscoveryAge = std::chrono::milliseconds(1500);
     /** Typical age of a worker's report when it is read. */
     Duration reportAge = std::chrono::milliseconds(400);
+    /** Nothing is started while the last successful read of the evacuated data centres began longer ago than this. With
+     * orderTimeout it is less than the 5 s after which no task may be started in an evacuated data centre. It spans two
+     * calls that wait for a change for 1 s, or one of them and one lost answer. */
+    Duration maximumEvacuationsAge = std::chrono::milliseconds(3000);
     /** How long a worker gets no new work after it refused a start. */
     Duration refusalAvoidTime = std::chrono::seconds(2);
 };
@@ -171,6 +175,19 @@
     void discoveryRead();
     ///@}
 
+    /** @name Evacuated data centres: the operator wants no new work there; not to be confused with draining workers */
+    ///@{
+    /** Sets the data centres that get no new work; replaces the earlier set. Runs there continue. Starts there that are
+     * not sent yet are abandoned: their tasks wait again, and a gang with such a member is stopped as a whole. */
+    void setEvacuatedDataCentres(std::set<DataCentreId> evacuated);
+    /** Called when the set is known to be complete as of @p asOf. The engine starts nothing before the first call and
+     * while the latest @p asOf is longer ago than EngineTimes::maximumEvacuationsAge. */
+    void evacuationsRead(MonotonicTime asOf);
+    const std::set<DataCentreId> &evacuatedDataCentres() const;
+    /** Number of runs in the data centre that exist or may exist. */
+    std::size_t runsIn(const DataCentreId &dataCentre) const;
+    ///@}
+
     /** Places no work until @p until, because the owner is late with the work that runs already. */
     void pausePlacing(MonotonicTime until);
 
@@ -319,8 +336,8 @@
     void expireLeases(MonotonicTime now);
 
     // JobEnginePlan.cpp
-    /** Whether nothing may be placed now: the reports of the workers are too old, or the owner is late. Logs when this
-     * changes. */
+    /** Whether nothing may be placed now: the reports of the workers or the evacuated data centres were read too long
+     * ago, or the owner is late. Logs when this changes. */
     bool isPlacingPaused(MonotonicTime now);
     void plan(MonotonicTime now);
     std::vector<Candidate> candidates(MonotonicTime now);
@@ -386,6 +403,18 @@
     void evacuateDrainingWorkers(MonotonicTime now);
     void evacuateRun(const Worker &worker, const RunKey &key, MonotonicTime now);
 
+    // JobEngineDataCentres.cpp
+    bool isEvacuated(const Worker &worker) const;
+    std::size_t workersIn(const DataCentreId &dataCentre) const;
+    /** Whether the evacuated data centres were read in this term, and recently enough to start work. */
+    bool knowsEvacuations(MonotonicTime now) const;
+    /** Stops the runs in the data centre whose start was not sent, and their gangs; returns their number. */
+    std::size_t abandonUnsentStarts(const DataCentreId &dataCentre);
+    /** Drops the claims that include a worker of an evacuated data centre. */
+    void dropEvacuatedClaims();
+    /** Logs once for each evacuated data centre that no run is left there. */
+    void logEmptyDataCentres();
+
     // JobEngineMonitor.cpp
     struct MonitoredRun {
         Worker *worker = nullptr;
@@ -442,6 +471,11 @@
     MonotonicTime m_nextMonitorAt;
     MonotonicTime m_nextDrainCheckAt;
     MonotonicTime m_discoveryReadAt;
+    std::set<DataCentreId> m_evacuatedDataCentres;
+    /** The evacuated data centres that were logged as empty and still are. */
+    std::set<DataCentreId> m_emptyDataCentres;
+    /** When the last successful read of the evacuated data centres began; no value before the first one. */
+    std::optional<MonotonicTime> m_evacuationsReadAt;
     MonotonicTime m_placingPausedUntil;
     bool m_placingPaused = false;
     MonotonicTime m_nextForgetAt;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -104,6 +104,7 @@
     std::unique_ptr<Advisor> advisor;
     ConfigurationSource configuration;
     DiscoverySource discovery;
+    EvacuationSource evacuations;
     std::function<std::unique_ptr<CallerServer>(NodeContext &)> makeCallerServer;
 };
 
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Workflow/EvacuationFollower.h"
 #include "corianderscale/Workflow/JobEngine.h"
 #include "corianderscale/Workflow/StateSweeper.h"
 #include "corianderscale/Workflow/TableFollower.h"
@@ -27,6 +28,7 @@
     TermTimes term;
     EngineTimes engine;
     StateSweeper::Times sweeper;
+    EvacuationFollower::Times evacuations;
     /** Time between two steps of the engine and the election. */
     Duration stepInterval = std::chrono::milliseconds(50);
     /** An owner whose step is later than this places no work for @c lateOwnerPause. The members of a gang must all
@@ -56,7 +58,8 @@
                     RowStore &store,
                     WorkerOrders &orders,
                     Advisor *advisor,
-                    DiscoverySource discovery);
+                    DiscoverySource discovery,
+                    EvacuationSource evacuations);
     ~OwnerController();
     OwnerController(const OwnerController &) = delete;
     OwnerController &operator=(const OwnerController &) = delete;
@@ -80,6 +83,7 @@
 private:
     void startTerm(Epoch epoch);
     void endTerm(const std::string &reason);
+    void startEvacuationFollower();
     void handleProgressRows(const std::vector<Row> &rows);
     void handleAllJobRows(const std::vector<Row> &rows);
     /** Lets the engine remove the progress of jobs that have no row any more. */
@@ -101,6 +105,7 @@
     WorkerOrders &m_orders;
     Advisor *m_advisor;
     DiscoverySource m_discovery;
+    EvacuationSource m_evacuations;
     boost::asio::steady_timer m_timer;
     TermChain m_chain;
     std::shared_ptr<const Catalogue> m_catalogue;
@@ -108,6 +113,7 @@
     std::optional<TableFollower> m_progressReader;
     std::optional<TableFollower> m_jobsFollower;
     std::optional<TableFollower> m_workersFollower;
+    std::optional<EvacuationFollower> m_evacuationFollower;
     std::unique_ptr<JobEngine> m_engine;
     std::optional<StateSweeper> m_stateSweeper;
     bool m_restored = false;
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -60,12 +60,17 @@
     bool reservedForGang = false;
 };
 
-/** The listed workers that are not draining, with the room that a planning pass has not used yet. */
+/** The listed workers that are neither draining nor in an evacuated data centre, with the room that a planning pass has
+ * not used yet. */
 class PlacementBoard
 {
 public:
-    /** @p workers must outlive the board and not change. Workers in @p silent data centres take no new work. */
-    PlacementBoard(const WorkerTable &workers, MonotonicTime now, const std::set<DataCentreId> &silent = {});
+    /** @p workers must outlive the board and not change. Workers in @p silent data centres take no new work. Workers in
+     * @p evacuated data centres are not on the board, so their capacity does not count for gangs, racks or reserves. */
+    PlacementBoard(const WorkerTable &workers,
+                   MonotonicTime now,
+                   const std::set<DataCentreId> &silent = {},
+                   const std::set<DataCentreId> &evacuated = {});
 
     std::vector<BoardEntry> &entries()
     {
--- a/include/corianderscale/Workflow/TableFollower.h
+++ b/include/corianderscale/Workflow/TableFollower.h
@@ -35,6 +35,9 @@
         Duration storeCallTimeout = std::chrono::seconds(1);
         /** Pause after a failed call. */
         Duration retryAfter = std::chrono::milliseconds(200);
+        /** Whether the call after a failed call for changes does not wait for a change. It is answered at once, so the
+         * rows are known to be current again sooner. */
+        bool asksAtOnceAfterFailure = false;
     };
 
     struct Hooks {
@@ -46,6 +49,9 @@
         std::function<void(bool reachable, const std::string &reason)> reachable;
         /** Called when everything that had changed by the last call was reported. May be empty. */
         std::function<void()> caughtUp;
+        /** Called when a snapshot begins and when a call for changes is sent. Everything that had changed by then is
+         * reported before the next call of @c caughtUp. May be empty. */
+        std::function<void()> asking;
     };
 
     TableFollower(boost::asio::io_context &loop, RowStore &store, Settings settings, Hooks hooks);
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -107,9 +107,11 @@
 {
     Job *job = findJobOf(run.task);
     const RunKey key{run.task, run.number};
+    const MonotonicTime now = m_clock.now();
     const bool unusable = !worker.listed || worker.reportOutdated || worker.report.draining || worker.silentCalls > 0
-        || m_clock.now() - m_discoveryReadAt > m_times.maximumDiscoveryAge;
-    if (job == nullptr || run.stopWanted || unusable) {
+        || now - m_discoveryReadAt > m_times.maximumDiscoveryAge;
+    const bool mayBeEvacuated = isEvacuated(worker) || !knowsEvacuations(now);
+    if (job == nullptr || run.stopWanted || unusable || mayBeEvacuated) {
         runGone(worker, key, "the start was not sent");
         if (job != nullptr && job->step(key.first).gang) {
             stopGang(*job, key.first, key.second);
@@ -131,7 +133,7 @@
     run.start = StartState::Sent;
     ++m_counts.startsSent;
     if (worker.startsInFlight++ == 0) {
-        worker.startsDueAt = m_clock.now();
+        worker.startsDueAt = now;
     }
     logEvent(LogLevel::Info,
              "start-sent",
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -61,6 +61,7 @@
 {
     m_planWanted = false;
     m_nextPlanAt = now + m_times.planInterval;
+    logEmptyDataCentres();
     if (!m_catalogue || isPlacingPaused(now)) {
         return;
     }
@@ -68,7 +69,7 @@
     if (waiting.empty()) {
         return;
     }
-    PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now));
+    PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now), m_evacuatedDataCentres);
     m_poolUse.clear();
     m_urgentReserve.apply(urgentDemand(), board, now);
     markProvenWorkers(board, now);
@@ -90,11 +91,12 @@
 {
     const Duration age = now - m_discoveryReadAt;
     const bool late = now < m_placingPausedUntil;
-    const bool paused = late || age > m_times.maximumDiscoveryAge;
+    const bool paused = late || age > m_times.maximumDiscoveryAge || !knowsEvacuations(now);
     if (std::exchange(m_placingPaused, paused) != paused) {
         logEvent(paused ? LogLevel::Warning : LogLevel::Info,
                  paused ? "placing-paused" : "placing-resumed",
                  {{"discovery_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                  {"evacuations_known", knowsEvacuations(now)},
                   {"owner_late", late},
                   {"epoch", m_epoch}});
     }
@@ -197,7 +199,8 @@
     auto &[used, total] = entry->second;
     if (added) {
         for (const auto &[id, worker] : m_workers.all()) {
-            if (worker.report.service == service && worker.listed && worker.known && !worker.report.draining) {
+            const bool usable = worker.listed && worker.known && !worker.report.draining && !isEvacuated(worker);
+            if (worker.report.service == service && usable) {
                 used = plus(used, worker.used);
                 total = plus(total, worker.report.capacity);
             }
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -102,6 +102,9 @@
 {
     std::map<ServiceName, std::int64_t> largestWorker;
     for (const auto &[id, worker] : m_workers.all()) {
+        if (isEvacuated(worker)) {
+            continue;
+        }
         std::int64_t &largest = largestWorker[worker.report.service];
         largest = std::max(largest, worker.report.capacity.accelerators.count());
     }
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -67,7 +67,8 @@
                   m_store,
                   *m_binding.orders,
                   m_binding.advisor.get(),
-                  m_binding.discovery)
+                  m_binding.discovery,
+                  m_binding.evacuations)
         , m_configuration(m_loop, m_store, followerSettings(m_binding), followerHooks())
         , m_callerServer(m_binding.makeCallerServer(*this))
         , m_neighbours(m_loop,
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -83,6 +83,16 @@
         setGauge("coriander_workers",
                  "Workers known to this owner",
                  static_cast<double>(readings.engine->workers().all().size()));
+        std::size_t runsLeft = 0;
+        for (const DataCentreId &dataCentre : readings.engine->evacuatedDataCentres()) {
+            runsLeft += readings.engine->runsIn(dataCentre);
+        }
+        setGauge("coriander_evacuated_data_centres",
+                 "Data centres that the operator evacuates",
+                 static_cast<double>(readings.engine->evacuatedDataCentres().size()));
+        setGauge("coriander_evacuated_data_centre_runs",
+                 "Runs that are left in evacuated data centres",
+                 static_cast<double>(runsLeft));
         setGauge("coriander_workers_silent", "Workers that did not answer the last order", static_cast<double>(silent));
     }
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -48,7 +48,8 @@
                                  RowStore &store,
                                  WorkerOrders &orders,
                                  Advisor *advisor,
-                                 DiscoverySource discovery)
+                                 DiscoverySource discovery,
+                                 EvacuationSource evacuations)
     : m_loop(loop)
     , m_times(times)
     , m_clock(std::move(clock))
@@ -56,6 +57,7 @@
     , m_orders(orders)
     , m_advisor(advisor)
     , m_discovery(std::move(discovery))
+    , m_evacuations(std::move(evacuations))
     , m_timer(loop)
     , m_chain(times.term,
               m_clock,
@@ -143,6 +145,32 @@
                                                   [](const std::vector<Row> &) {},
                                                   {}});
     m_progressReader->start();
+    startEvacuationFollower();
+}
+
+void OwnerController::startEvacuationFollower()
+{
+    m_evacuationFollower.emplace(m_loop,
+                                 m_times.evacuations,
+                                 m_clock,
+                                 m_store,
+                                 m_evacuations,
+                                 EvacuationFollower::Hooks{/*changed=*/
+                                                           [this](const std::set<DataCentreId> &evacuated) {
+                                                               if (m_engine) {
+                                                                   m_engine->setEvacuatedDataCentres(evacuated);
+                                                               }
+                                                           },
+                                                           /*read=*/
+                                                           [this](MonotonicTime asOf) {
+                                                               if (m_engine) {
+                                                                   m_engine->evacuationsRead(asOf);
+                                                               }
+                                                               if (m_engine && m_restored) {
+                                                                   m_engine->step();
+                                                               }
+                                                           }});
+    m_evacuationFollower->start();
 }
 
 void OwnerController::handleProgressRows(const std::vector<Row> &rows)
@@ -340,6 +368,7 @@
         m_progressReader.reset();
         m_jobsFollower.reset();
         m_workersFollower.reset();
+        m_evacuationFollower.reset();
     });
 }
 
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -171,11 +171,14 @@
 
 } // namespace
 
-PlacementBoard::PlacementBoard(const WorkerTable &workers, MonotonicTime now, const std::set<DataCentreId> &silent)
+PlacementBoard::PlacementBoard(const WorkerTable &workers,
+                               MonotonicTime now,
+                               const std::set<DataCentreId> &silent,
+                               const std::set<DataCentreId> &evacuated)
 {
     m_entries.reserve(workers.all().size());
     for (const auto &[id, worker] : workers.all()) {
-        if (!worker.listed || worker.report.draining) {
+        if (!worker.listed || worker.report.draining || evacuated.count(worker.report.dataCentre) > 0) {
             continue;
         }
         const std::size_t rack = m_racks.try_emplace(worker.report.rack, m_racks.size()).first->second;
--- a/lib/Workflow/TableFollower.cpp
+++ b/lib/Workflow/TableFollower.cpp
@@ -18,6 +18,7 @@
         m_rows.clear();
         m_from = m_settings.from;
         m_hasVersion = false;
+        reportAsking();
         readPage();
     }
 
@@ -61,6 +62,7 @@
             readPage();
             return;
         }
+        m_lastCallFailed = false;
         const std::vector<Row> rows = std::move(m_rows);
         m_rows.clear();
         m_hooks.snapshot(rows);
@@ -73,10 +75,12 @@
         if (m_stopped) {
             return;
         }
+        reportAsking();
+        const Duration wait = m_lastCallFailed && m_settings.asksAtOnceAfterFailure ? Duration(0) : m_settings.wait;
         m_store.follow(m_settings.table,
                        m_version,
-                       m_settings.wait,
-                       m_settings.wait + m_settings.storeCallTimeout,
+                       wait,
+                       wait + m_settings.storeCallTimeout,
                        [weak = weak_from_this()](const std::optional<RowPage> &page, const StateError &error) {
                            const std::shared_ptr<Implementation> self = weak.lock();
                            if (self && !self->m_stopped) {
@@ -91,6 +95,7 @@
             startSnapshot();
             return;
         }
+        m_lastCallFailed = !page;
         if (!page) {
             setReachable(false, error.reason);
             after(m_settings.retryAfter, [this] { follow(); });
@@ -111,6 +116,13 @@
         follow();
     }
 
+    void reportAsking()
+    {
+        if (m_hooks.asking) {
+            m_hooks.asking();
+        }
+    }
+
     void reportCaughtUp()
     {
         if (m_hooks.caughtUp) {
@@ -147,6 +159,7 @@
     RowVersion m_version;
     bool m_hasVersion = false;
     bool m_reachable = true;
+    bool m_lastCallFailed = false;
     bool m_stopped = false;
 };
 
--- a/unittests/Platform/MessagesTest.cpp
+++ b/unittests/Platform/MessagesTest.cpp
@@ -57,6 +57,32 @@
     }
 }
 
+// Guards against an evacuation that is not carried out because of its value, and against rows that are taken for the
+// evacuation of a data centre without a name.
+TEST(CatalogueMessages, evacuationIsDecodedFromItsKey)
+{
+    for (const char *value : {"", "{}", R"({"by":"operator"})", "1"}) {
+        ProtocolError error;
+        EXPECT_EQ(decodeEvacuation("evacuate/dc-1", value, error), DataCentreId("dc-1")) << value;
+        EXPECT_TRUE(error.reason.empty()) << value << ": " << error.reason;
+    }
+    for (const char *value : {"{", "\xff\xfe", "yes"}) {
+        ProtocolError error;
+        EXPECT_EQ(decodeEvacuation("evacuate/dc-1", value, error), DataCentreId("dc-1")) << value;
+        EXPECT_FALSE(error.reason.empty()) << value;
+    }
+    for (const std::string &key : {std::string("evacuate/"),
+                                   std::string("evacuate"),
+                                   std::string("config"),
+                                   std::string(),
+                                   "evacuate/" + std::string(10000, 'z')}) {
+        ProtocolError error;
+        EXPECT_FALSE(decodeEvacuation(key, "", error)) << key;
+        EXPECT_FALSE(error.reason.empty()) << key;
+        EXPECT_LT(error.reason.size(), 1000U);
+    }
+}
+
 // Guards against task names that decode to another task, whose run would then be ended instead.
 TEST(JobMessages, taskNamesSurviveARoundTrip)
 {
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -167,6 +167,8 @@
     std::int64_t epoch = 0;
     /** Whether the owner can read the reports of the workers. */
     bool discoveryAnswers = true;
+    /** Whether the owner can read the evacuated data centres. */
+    bool evacuationsAnswer = true;
 
 private:
     void tick()
@@ -179,6 +181,9 @@
         if (discoveryAnswers) {
             engine->discoveryRead();
         }
+        if (evacuationsAnswer) {
+            engine->evacuationsRead(timeline.now());
+        }
         engine->step();
         if (batch || store.isUnreachable) {
             return;
--- a/unittests/Workflow/FakeRowStore.h
+++ b/unittests/Workflow/FakeRowStore.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,12 @@
     double requestLost = 0;
     /** Whether the store refuses all calls. */
     bool isUnreachable = false;
+    /** Tables whose reads and feeds are not answered, as on connections that went silent without a reset. Such calls
+     * fail when their limit is over. */
+    std::set<std::string> silentTables;
+    /** Number of calls of read() and of follow() so far. */
+    std::size_t reads = 0;
+    std::size_t follows = 0;
     /** Time from a call to its effect, and from there to the answer. */
     Duration answerTime = milliseconds(4);
     /** Maximum number of changes in one answer to a follower. */
@@ -137,10 +144,20 @@
         }
     }
 
-    void read(
-        const std::string &table, const std::string &from, const std::string &to, Duration, PageDone done) override
+    void read(const std::string &table,
+              const std::string &from,
+              const std::string &to,
+              Duration limit,
+              PageDone done) override
     {
-        m_timeline.after(answerTime, [this, table, from, to, done] {
+        ++reads;
+        m_timeline.after(answerTime, [this, table, from, to, limit, done] {
+            if (silentTables.count(table) > 0) {
+                m_timeline.after(limit, [done] {
+                    done(std::nullopt, {StateCode::Unavailable, "no response in time"});
+                });
+                return;
+            }
             if (isUnreachable) {
                 done(std::nullopt, {StateCode::Unavailable, "the store answered with status 503"});
                 return;
@@ -161,15 +178,30 @@
         });
     }
 
-    void follow(const std::string &table, RowVersion after, Duration wait, Duration, PageDone done) override
+    void follow(const std::string &table, RowVersion after, Duration wait, Duration limit, PageDone done) override
     {
+        ++follows;
         const std::uint64_t follower = ++m_lastFollower;
         m_followers[follower] = {table, after, std::move(done)};
         m_timeline.after(milliseconds(4), [this] { answerFollowers(); });
-        m_timeline.after(wait, [this, follower] {
+        // A call that does not wait reports the changes that there are.
+        m_timeline.after(std::max(wait, answerTime), [this, follower] {
+            const auto found = m_followers.find(follower);
+            if (found == m_followers.end() || silentTables.count(found->second.table) > 0) {
+                return;
+            }
+            auto waiting = m_followers.extract(found);
+            const auto news = pendingAnswer(waiting.mapped());
+            waiting.mapped().done(news ? news->first : RowPage{{}, false, m_version},
+                                  news ? news->second : StateError{});
+        });
+        if (limit <= wait) {
+            return;
+        }
+        m_timeline.after(limit, [this, follower] {
             auto waiting = m_followers.extract(follower);
             if (!waiting.empty()) {
-                waiting.mapped().done(RowPage{{}, false, m_version}, {});
+                waiting.mapped().done(std::nullopt, {StateCode::Unavailable, "no response in time"});
             }
         });
     }
@@ -220,7 +252,7 @@
     {
         for (auto at = m_followers.begin(); at != m_followers.end();) {
             const auto news = pendingAnswer(at->second);
-            if (!news) {
+            if (!news || silentTables.count(at->second.table) > 0) {
                 ++at;
                 continue;
             }
--- a/unittests/Workflow/NodeMetricsTest.cpp
+++ b/unittests/Workflow/NodeMetricsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "Workflow/EngineHarness.h"
+
 namespace coriander::workflow {
 namespace {
 
@@ -18,6 +20,33 @@
     EXPECT_NE(text.find("coriander_owner_epoch 0"), std::string::npos) << text;
 }
 
+// Guards against metrics that show nothing of an evacuation, or count the runs of all data centres or starts that were
+// not sent.
+TEST(NodeMetrics, runsLeftInEvacuatedDataCentresAreCounted)
+{
+    EngineHarness harness;
+    harness.addWorkers(6);
+    for (int i = 0; i < 6; ++i) {
+        harness.workers.machines().at(WorkerId("w" + std::to_string(i))).report.dataCentre
+            = DataCentreId(i < 4 ? "near" : "far");
+    }
+    harness.startOwner();
+    harness.runFor(std::chrono::seconds(1));
+    harness.submit(harness.job("j", 1, {stepOf(6, 1, 8)}), {.work = std::chrono::seconds(4)});
+    harness.runFor(std::chrono::seconds(1));
+    NodeMetrics metrics;
+    NodeMetrics::Readings readings;
+    readings.engine = harness.engine.get();
+    const auto shows = [&metrics, &readings](const std::string &line) {
+        return metrics.toText(readings).find("\n" + line + "\n") != std::string::npos;
+    };
+    EXPECT_TRUE(shows("coriander_evacuated_data_centres 0") && shows("coriander_evacuated_data_centre_runs 0"));
+    harness.engine->setEvacuatedDataCentres({DataCentreId("far"), DataCentreId("unknown")});
+    EXPECT_TRUE(shows("coriander_evacuated_data_centres 2") && shows("coriander_evacuated_data_centre_runs 2"));
+    harness.runFor(std::chrono::seconds(5));
+    EXPECT_TRUE(shows("coriander_evacuated_data_centres 2") && shows("coriander_evacuated_data_centre_runs 0"));
+}
+
 // Guards against invalid settings that are accepted.
 TEST(NodeSettings, wrongSettingsAreFaults)
 {
--- a/unittests/Workflow/OvertakenAnswerTest.cpp
+++ b/unittests/Workflow/OvertakenAnswerTest.cpp
@@ -51,6 +51,7 @@
         m_harness.runFor(time);
         m_engine.termConfirmed(m_harness.timeline.now());
         m_engine.discoveryRead();
+        m_engine.evacuationsRead(m_harness.timeline.now());
         m_engine.step();
         m_engine.batchStored(m_engine.takeBatch({}));
     }
--- a/unittests/Workflow/UrgentReserveTest.cpp
+++ b/unittests/Workflow/UrgentReserveTest.cpp
@@ -101,6 +101,20 @@
     }
 }
 
+// Guards against a reserve of workers in an evacuated data centre, where urgent work cannot go, and against a reserve
+// whose size counts their accelerators.
+TEST_F(Reserve, evacuatedWorkersAreNotReserved)
+{
+    useEvery(5);
+    for (int i = 0; i < 4; ++i) {
+        m_book.all().at(WorkerId("w" + std::to_string(i))).report.dataCentre = DataCentreId("far");
+    }
+    PlacementBoard board(m_book, m_now, {}, {DataCentreId("far")});
+    EXPECT_EQ(board.entries().size(), 4U);
+    m_reserve.apply({{ServiceName("pool"), 1000}}, board, m_now);
+    EXPECT_EQ(reservedWorkers(board), 2U) << "0.65 of the two racks that are left";
+}
+
 // Guards against one entry of another writer that ends the reserve of a whole pool: it names more accelerators than all
 // workers have, and no worker answers for it.
 TEST_F(Reserve, entryThatNoWorkerAnswersForDoesNotCount)
