Workflow: urgent gangs ask for a speed only where that is safe and of use

Only gangs ask for a speed, and only if the workers that have it could hold them. Guaranteed work preempts for speed only where that is worth it, else it starts on any worker in the same pass. The reserve counts the whole racks that it touches. Each service has its own scale. Work that can wait prefers slow workers only if it is in time there.

--- a/include/corianderscale/Decision/WorkerSpeed.h
+++ b/include/corianderscale/Decision/WorkerSpeed.h
@@ -41,22 +41,24 @@
 {
 public:
     /** Takes the rates of the runs of one step; @p step identifies it. A later call for the same step replaces the
-     * earlier observations of it. A step with a single run is ignored, because nothing tells its length. */
+     * earlier observations of it. A step on a single worker is ignored, because nothing tells its length. */
     void observe(std::uint64_t step, TaskLikeness likeness, const std::vector<RunRate> &runs);
 
-    /** Estimates all speeds again. Call after a round of observations. */
+    /** Estimates all speeds again, if there are new observations. Call after a round of observations, several times a
+     * second. */
     void update();
 
-    /** The worker's speed, where 1 is the typical speed of the pool; no value without observations. */
+    /** The worker's speed, where 1 is the typical speed of the pool; no value without enough observations. */
     std::optional<double> speedOf(const WorkerId &worker) const;
 
-    /** Whether so many workers are slow that the choice of the worker decides whether urgent work is in time. */
+    /** Whether so many workers are slow, for some updates on end, that the choice of the worker decides whether urgent
+     * work is in time. */
     bool isUneven() const;
 
     /** Highest speed of at least a tenth of the workers; 1 before the first observations. */
     double highestCommonSpeed() const;
 
-    /** Number of workers with observations. */
+    /** Number of workers whose speed is known. */
     std::size_t observedWorkers() const;
 
     /** Forgets a worker, whose process may run on other hardware from now on. */
@@ -73,6 +75,11 @@
         /** Latest observations, oldest first. */
         std::deque<Observation> observations;
         double logSpeed = 0;
+        /** Weight of all observations. */
+        double weight = 0;
+
+        /** Replaces the observation of the same step, else the oldest one when there are too many. */
+        void add(const Observation &observation);
     };
 
     void estimateLengths();
@@ -86,6 +93,10 @@
     double m_reference = 0;
     double m_highestCommonSpeed = 1;
     bool m_uneven = false;
+    /** Number of updates on end in which the share of slow workers spoke against m_uneven. */
+    int m_contraryUpdates = 0;
+    std::size_t m_observedWorkers = 0;
+    bool m_changed = false;
 };
 
 /** A step whose tasks wait for workers. */
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -349,6 +349,10 @@
     void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     /** Sets the speeds of the board's workers, if the pool is uneven. */
     void markSpeeds(PlacementBoard &board) const;
+    /** Learned speeds of the workers of a service; null while it has no slow workers. */
+    const decision::WorkerSpeeds *unevenSpeeds(const ServiceName &service) const;
+    /** Whether slow workers are fast enough for the candidate's step. */
+    bool canRunOnSlowWorkers(const Candidate &candidate, MonotonicTime now) const;
     /** Lowest speed of a worker for the candidate's step; 0 for any. */
     double minimumSpeed(const Candidate &candidate, MonotonicTime now) const;
     PlacementNeed needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now);
@@ -389,7 +393,8 @@
     std::set<JobId> guaranteedJobs() const;
     UrgentReserve::Demand urgentDemand() const;
     bool isWorthPreempting(const Candidate &candidate, const ReclaimPlan &plan, const PlacementBoard &board) const;
-    void reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
+    /** Stops runs that make room for the candidate's step; returns whether it did. */
+    bool reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     /** Cost of stopping the run, in core equivalents times seconds of lost run time; no value if the run must not be
      * stopped for the claimant: it gives way to a higher priority, or, if no guarantee covers its job, to a guarantee.
      */
@@ -428,7 +433,10 @@
     /** Finds slow and stalled workers and moves tasks that would miss their objective there but not elsewhere. */
     void monitorRuns(MonotonicTime now);
     /** Learns the speeds of workers from the runs of one step. */
-    void observeSpeeds(const Job &job, const StepKey &step, const std::vector<MonitoredRun> &runs);
+    void observeSpeeds(const Job &job,
+                       const QueueSpec &queue,
+                       const StepKey &step,
+                       const std::vector<MonitoredRun> &runs);
     /** Estimates the speeds of workers from all observations; logs when the pool becomes uneven or even. */
     void updateSpeeds();
     std::vector<MonitoredRun> monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step);
@@ -458,7 +466,8 @@
     std::set<JobId> m_coveredJobs;
     UrgentReserve m_urgentReserve;
     decision::FailureWave m_failureWave;
-    decision::WorkerSpeeds m_workerSpeeds;
+    /** By service, because no step runs on workers of two services. */
+    std::map<ServiceName, decision::WorkerSpeeds> m_workerSpeeds;
     /** Whether there is a wave of failures in the present planning pass, and whether workers are marked as proven. */
     bool m_waveInPass = false;
     bool m_provenMarked = false;
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -119,8 +119,8 @@
  */
 std::vector<std::size_t> entriesToReserve(const PlacementBoard &board, const PlacementNeed &need);
 
-/** Whether a rack could hold all tasks of the need if its workers were empty. */
-bool anyRackCanHold(const PlacementBoard &board, const PlacementNeed &need);
+/** Whether the eligible workers, in one rack if the need asks for that, could hold all tasks if they were empty. */
+bool canHold(const PlacementBoard &board, const PlacementNeed &need);
 
 /** Places as many of the tasks as fit and takes their room. If the need's data rack has an eligible worker, only that
  * rack is used, else any. Returns an entry for each placed task. */
--- a/lib/Workflow/JobEngineMonitor.cpp
+++ b/lib/Workflow/JobEngineMonitor.cpp
@@ -30,7 +30,7 @@
 constexpr int MaximumMovesPerTask = 2;
 constexpr double FullPercent = 100;
 /** A rate over less time or progress is dominated by the rounding to whole percents and by the start of the task. */
-constexpr double MinimumObservedSeconds = 0.4;
+constexpr Duration MinimumObservedTime = std::chrono::milliseconds(400);
 constexpr int MinimumObservedPercent = 8;
 
 /** The upper median of the positive rates, which a few slow runs do not lower; 0 if there are none. */
@@ -69,34 +69,45 @@
 
 void JobEngine::updateSpeeds()
 {
-    const bool wasUneven = m_workerSpeeds.isUneven();
-    m_workerSpeeds.update();
-    if (m_workerSpeeds.isUneven() != wasUneven) {
-        logEvent(LogLevel::Info,
-                 "worker-speeds-changed",
-                 {{"uneven", m_workerSpeeds.isUneven()},
-                  {"observed", m_workerSpeeds.observedWorkers()},
-                  {"workers", m_workers.all().size()},
-                  {"highest_common", m_workerSpeeds.highestCommonSpeed()}});
+    for (auto &[service, speeds] : m_workerSpeeds) {
+        const bool wasUneven = speeds.isUneven();
+        speeds.update();
+        if (speeds.isUneven() != wasUneven) {
+            logEvent(LogLevel::Info,
+                     "worker-speeds-changed",
+                     {{"service", service},
+                      {"uneven", speeds.isUneven()},
+                      {"observed", speeds.observedWorkers()},
+                      {"workers", m_workers.all().size()},
+                      {"highest_common", speeds.highestCommonSpeed()}});
+        }
     }
 }
 
-void JobEngine::observeSpeeds(const Job &job, const StepKey &step, const std::vector<MonitoredRun> &runs)
+void JobEngine::observeSpeeds(const Job &job,
+                              const QueueSpec &queue,
+                              const StepKey &step,
+                              const std::vector<MonitoredRun> &runs)
 {
     std::vector<decision::RunRate> rates;
     for (const MonitoredRun &monitored : runs) {
         const Run &run = *monitored.run;
-        const double seconds
-            = std::chrono::duration_cast<Seconds>(monitored.worker->lastHoldAt - run.runningSince).count();
+        const Duration observed = monitored.worker->lastHoldAt - run.runningSince;
         const int progress = run.percent - run.firstPercent;
-        if (seconds >= MinimumObservedSeconds && progress >= MinimumObservedPercent && run.percent < FullPercent) {
+        if (observed >= MinimumObservedTime && progress >= MinimumObservedPercent && run.percent < FullPercent
+            && !run.stopWanted) {
+            const double seconds = std::chrono::duration_cast<Seconds>(observed).count();
             rates.push_back({monitored.worker->report.id, progress / FullPercent / seconds});
         }
     }
+    if (rates.size() < 2) {
+        return;
+    }
     const std::size_t id
         = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job.value(), step.occurrence, step.step));
     const bool gang = job.spec.steps[step.step].gang;
-    m_workerSpeeds.observe(id, gang ? decision::TaskLikeness::Same : decision::TaskLikeness::Similar, rates);
+    m_workerSpeeds[queue.service].observe(
+        id, gang ? decision::TaskLikeness::Same : decision::TaskLikeness::Similar, rates);
 }
 
 std::vector<JobEngine::MonitoredRun> JobEngine::monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step)
@@ -121,7 +132,7 @@
     Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now)
 {
     const std::vector<MonitoredRun> runs = monitoredRuns(job, occurrence, step);
-    observeSpeeds(job, {job.spec.id, occurrence, step}, runs);
+    observeSpeeds(job, queue, {job.spec.id, occurrence, step}, runs);
     std::vector<double> rates;
     for (const MonitoredRun &monitored : runs) {
         rates.push_back(monitored.run->rate.value_or(0));
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -408,6 +408,7 @@
         }
     }
     for (const WorkerId &id : gone) {
+        m_workerSpeeds[m_workers.find(id)->report.service].forget(id);
         m_workers.all().erase(id);
     }
 }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -85,28 +85,42 @@
 
 void JobEngine::markSpeeds(PlacementBoard &board) const
 {
-    if (!m_workerSpeeds.isUneven()) {
-        return;
-    }
     for (BoardEntry &entry : board.entries()) {
-        const std::optional<double> speed = m_workerSpeeds.speedOf(entry.worker->report.id);
-        entry.speed = speed.value_or(1);
-        entry.speedKnown = speed.has_value();
+        if (const decision::WorkerSpeeds *speeds = unevenSpeeds(entry.worker->report.service)) {
+            const std::optional<double> speed = speeds->speedOf(entry.worker->report.id);
+            entry.speed = speed.value_or(1);
+            entry.speedKnown = speed.has_value();
+        }
     }
 }
 
+const decision::WorkerSpeeds *JobEngine::unevenSpeeds(const ServiceName &service) const
+{
+    const auto found = m_workerSpeeds.find(service);
+    return found == m_workerSpeeds.end() || !found->second.isUneven() ? nullptr : &found->second;
+}
+
+bool JobEngine::canRunOnSlowWorkers(const Candidate &candidate, MonotonicTime now) const
+{
+    const Duration timeLeft = candidate.objective - now;
+    return timeLeft * decision::SlowSpeed > candidate.job->spec.steps[candidate.step].estimate;
+}
+
 double JobEngine::minimumSpeed(const Candidate &candidate, MonotonicTime now) const
 {
-    const std::optional<MonotonicTime> since
-        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
-    if (!m_workerSpeeds.isUneven() || candidate.queue->priority != 0 || step.longRunning) {
+    const decision::WorkerSpeeds *speeds = unevenSpeeds(candidate.queue->service);
+    // Only a gang is placed as a whole, so that its wait for faster workers has an end.
+    if (speeds == nullptr || candidate.queue->priority != 0 || !step.gang || step.longRunning) {
         return 0;
     }
-    return decision::speedNeeded({step.estimate,
-                                  candidate.objective - now,
-                                  since ? now - *since : Duration(0),
-                                  m_workerSpeeds.highestCommonSpeed()});
+    const std::optional<MonotonicTime> since
+        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    Duration waited = since ? now - *since : Duration(0);
+    if (!candidate.job->anyAssigned() && candidate.step == 0) {
+        waited = std::max(waited, now - candidate.since);
+    }
+    return decision::speedNeeded({step.estimate, candidate.objective - now, waited, speeds->highestCommonSpeed()});
 }
 
 void JobEngine::pausePlacing(MonotonicTime until)
@@ -266,7 +280,7 @@
     need.preferencesEnd = endsPreferences(candidate, now);
     need.urgent = candidate.queue->priority == 0;
     need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
-    need.preferSlow = !need.urgent && m_workerSpeeds.isUneven();
+    need.preferSlow = !need.urgent && unevenSpeeds(need.service) != nullptr && canRunOnSlowWorkers(candidate, now);
     need.maximumPerWorker = step.maximumPerWorker;
     if (candidate.queue->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
@@ -375,6 +389,8 @@
     PlacementNeed need = needOf(candidate, tasks, now);
     need.requireProven = true;
     need.excludeFailing = true;
+    // A worker that does not fail what it starts is more important than a fast one.
+    need.minimumSpeed = 0;
     const std::vector<std::size_t> entries = findRoom(need, candidate.job->spec.steps[candidate.step].gang, board);
     assignTo(candidate, tasks, entries, board, now);
     tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(entries.size()));
@@ -403,7 +419,7 @@
         return;
     }
     PlacementNeed need = needOf(candidate, tasks, now);
-    if (need.sameRack && need.minimumSpeed > 0 && !anyRackCanHold(board, need)) {
+    if (need.minimumSpeed > 0 && !canHold(board, need)) {
         need.minimumSpeed = 0;
     }
     // A retry prefers workers that have completed a run, because another failure may fail the job.
@@ -417,6 +433,14 @@
     if (entries.empty()) {
         entries = findRoom(need, gang, board);
     }
+    if (entries.empty() && need.minimumSpeed > 0 && candidate.guaranteed && claim == m_claims.end()) {
+        if (reclaim(candidate, need, board, now)) {
+            return;
+        }
+        // The start of guaranteed work matters more than its speed.
+        need.minimumSpeed = 0;
+        entries = findRoom(need, gang, board);
+    }
     assignTo(candidate, tasks, entries, board, now);
     if (need.approved && entries.size() < tasks.size()) {
         m_advice.ask(stepKey(candidate), board, need);
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -166,14 +166,15 @@
     });
 }
 
-void JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
+bool JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
 {
     const std::optional<ReclaimPlan> plan
         = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
               return victimCost(run, candidate, now);
           });
-    if (!plan || (!candidate.guaranteed && !isWorthPreempting(candidate, *plan, board))) {
-        return;
+    const bool mustBegin = candidate.guaranteed && need.minimumSpeed == 0;
+    if (!plan || (!mustBegin && !isWorthPreempting(candidate, *plan, board))) {
+        return false;
     }
     for (const auto &[worker, key] : plan->victims) {
         logEvent(LogLevel::Info,
@@ -198,6 +199,7 @@
     }
     applyClaim(claim, board, true);
     m_claims[{candidate.job->spec.id, candidate.occurrence, candidate.step}] = std::move(claim);
+    return true;
 }
 
 } // namespace coriander::workflow
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -211,7 +211,7 @@
               {"from", worker.report.incarnation},
               {"to", incarnation},
               {"runs", worker.runs.size()}});
-    m_workerSpeeds.forget(worker.report.id);
+    m_workerSpeeds[worker.report.service].forget(worker.report.id);
     std::vector<RunKey> gone;
     for (const auto &[key, run] : worker.runs) {
         if (run.seenRunning) {
@@ -294,6 +294,7 @@
     worker->listed = false;
     logEvent(LogLevel::Info, "worker-unlisted", {{"worker", id}, {"runs", worker->runs.size()}});
     if (worker->runs.empty()) {
+        m_workerSpeeds[worker->report.service].forget(id);
         m_workers.all().erase(id);
     }
 }
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -270,9 +270,17 @@
     return placer.take(board, placer.eligible());
 }
 
-bool anyRackCanHold(const PlacementBoard &board, const PlacementNeed &need)
+bool canHold(const PlacementBoard &board, const PlacementNeed &need)
 {
-    return anyRackFitsWhenEmpty(board, TaskPlacer(board, need), need);
+    const TaskPlacer placer(board, need);
+    if (need.sameRack) {
+        return anyRackFitsWhenEmpty(board, placer, need);
+    }
+    std::size_t slots = 0;
+    for (const std::size_t index : placer.eligible()) {
+        slots += placer.capacitySlots(index);
+    }
+    return slots >= need.tasks;
 }
 
 std::vector<std::size_t> entriesToReserve(const PlacementBoard &board, const PlacementNeed &need)
--- a/lib/Workflow/UrgentReserve.cpp
+++ b/lib/Workflow/UrgentReserve.cpp
@@ -21,7 +21,9 @@
 
 struct RackUse {
     std::vector<std::size_t> entries;
+    /** Accelerators of the open workers that are fast enough for urgent work, and of all open workers. */
     std::int64_t capacity = 0;
+    std::int64_t openCapacity = 0;
 };
 
 } // namespace
@@ -37,10 +39,11 @@
             continue; // It can't serve the demand, which is for accelerators.
         }
         RackUse &rack = racks[worker.report.service][worker.report.rack];
-        const bool slow = board.entries()[i].speed < decision::SlowSpeed;
-        if (!slow) {
+        const std::int64_t open = board.entries()[i].open ? capacity : 0;
+        rack.openCapacity += open;
+        if (board.entries()[i].speed >= decision::SlowSpeed) {
             rack.entries.push_back(i);
-            rack.capacity += board.entries()[i].open ? capacity : 0;
+            rack.capacity += open;
         }
         if (!worker.known) {
             continue; // Its entry may come from another writer.
@@ -61,9 +64,14 @@
         }
         const double limit = MaximumReservedShare * static_cast<double>(total);
         double reserved = 0;
+        double touched = 0;
         std::size_t count = 0;
         for (const auto &[id, rack] : racks[service]) {
-            if (reserved >= std::floor(pool.peak) || reserved + static_cast<double>(rack.capacity) > limit) {
+            if (rack.entries.empty()) {
+                continue;
+            }
+            touched += static_cast<double>(rack.openCapacity);
+            if (reserved >= std::floor(pool.peak) || touched > limit) {
                 break;
             }
             reserved += static_cast<double>(rack.capacity);
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -446,17 +446,19 @@
     Duration timeToGangEnd(const RunKey &key) const
     {
         Duration left{};
+        bool unequal = false;
         for (const auto &[id, machine] : m_machines) {
             for (const auto &[each, run] : machine.runs) {
                 const bool member = each.first.job == key.first.job && each.first.step == key.first.step
                     && each.first.occurrence == key.first.occurrence && each.second == key.second;
-                if (member && machine.speed != 1) {
+                if (member) {
+                    unequal = unequal || machine.speed != 1;
                     const TaskBehaviour &behaviour = m_behaviour.at({key.first.job, key.first.step});
                     left = std::max<Duration>(left, run.startedAt + timeOf(machine, behaviour) - m_timeline.now());
                 }
             }
         }
-        return left;
+        return unequal ? left : Duration(0);
     }
 
     bool gangComplete(const RunKey &key, std::size_t size) const
