Workflow, Soak: evacuations in the soak, and tests of pool use and reserves

The soak evacuates the data centre of a random worker for up to 5 s, again and again, with random numbers of their own so that the other faults of a seed stay. It does not check rule EVAC, because links, store and processes are disturbed at the same time.

Two decisions had no test: that runs left in an evacuated data centre do not make the rest of the pool look busy, and that nothing is reserved for a job that only an evacuated worker is large enough for.

--- a/unittests/Soak/FaultSchedule.cpp
+++ b/unittests/Soak/FaultSchedule.cpp
@@ -26,6 +26,7 @@
     , m_platform(platform)
     , m_nodes(nodes)
     , m_random(seed)
+    , m_evacuationRandom(seed + 1)
     , m_startedAt(platform.timeline.now())
 {
 }
@@ -34,6 +35,7 @@
 {
     m_injecting = true;
     injectNext();
+    injectEvacuations();
 }
 
 int FaultSchedule::drawInteger(int minimum, int maximum)
@@ -227,6 +229,23 @@
     }
 }
 
+void FaultSchedule::injectEvacuations()
+{
+    if (!m_injecting) {
+        return;
+    }
+    const auto draw = [this](int minimum, int maximum) {
+        return std::uniform_int_distribution<int>(minimum, maximum)(m_evacuationRandom);
+    };
+    const WorkerId worker = m_platform.workerId(static_cast<std::size_t>(draw(0, 1000)) % m_platform.workerCount());
+    const DataCentreId dataCentre = m_platform.workers.machines().at(worker).report.dataCentre;
+    const milliseconds duration(draw(300, 5000));
+    recordFault(fmt::format("evacuate {} for {} ms", dataCentre.value(), duration.count()));
+    m_platform.evacuate(dataCentre);
+    callAfter(m_loop, duration, [this, dataCentre] { m_platform.endEvacuation(dataCentre); });
+    callAfter(m_loop, milliseconds(draw(1000, 6000)), [this] { injectEvacuations(); });
+}
+
 void FaultSchedule::restartEndedProcesses()
 {
     for (SoakNode &node : m_nodes) {
@@ -266,6 +285,7 @@
         FakeWorkers::Machine &machine = m_platform.workers.machines().at(m_platform.workerId(i));
         machine.isCutOff = false;
         machine.report.draining = false;
+        m_platform.endEvacuation(machine.report.dataCentre);
     }
     for (SoakNode &node : m_nodes) {
         node.storeLink->setFaults({});
--- a/unittests/Soak/FaultSchedule.h
+++ b/unittests/Soak/FaultSchedule.h
@@ -45,6 +45,8 @@
     void injectLinkFault();
     void injectStoreFault();
     void injectWorkerFault();
+    /** Evacuates the data centre of a random worker for a while, again and again. */
+    void injectEvacuations();
     void freeze(SoakNode &node, Duration duration);
     void terminate(SoakNode &node);
     void startProcess(SoakNode &node);
@@ -56,6 +58,8 @@
     SoakPlatform &m_platform;
     std::vector<SoakNode> &m_nodes;
     std::mt19937 m_random;
+    /** Separate, so that evacuations do not change the other faults of a seed. */
+    std::mt19937 m_evacuationRandom;
     MonotonicTime m_startedAt;
     bool m_injecting = false;
     std::string m_history;
--- a/unittests/Soak/SoakPlatform.cpp
+++ b/unittests/Soak/SoakPlatform.cpp
@@ -16,6 +16,8 @@
 
 /** Interval between reports of each worker to the discovery table. */
 constexpr auto ReportInterval = std::chrono::milliseconds(500);
+/** Number of workers with consecutive indices that share a data centre; two racks. */
+constexpr int WorkersPerDataCentre = 6;
 /** Interval between checks for ended tasks while a hold waits. */
 constexpr auto EndCheckInterval = std::chrono::milliseconds(20);
 /** Number of workers with consecutive indices that share a rack. */
@@ -169,7 +171,8 @@
 {
     const std::string id = "w" + std::to_string(index);
     const decision::Resources size{MilliCores(32000), MemoryMib(65536), Accelerators(8)};
-    workers.add(id, "r" + std::to_string(index / WorkersPerRack), size);
+    workers.add(id, "r" + std::to_string(index / WorkersPerRack), size).report.dataCentre
+        = DataCentreId("dc" + std::to_string(index / WorkersPerDataCentre));
     WorkerHost host;
     host.id = WorkerId(id);
     host.server = std::make_unique<AsyncHttpServer>(
@@ -194,7 +197,7 @@
         const WorkerReport &report = machine.report;
         const Json body = {{"service", report.service.value()},
                            {"addr", report.address},
-                           {"zone", "dc"},
+                           {"zone", report.dataCentre.value()},
                            {"state", report.draining ? "draining" : "ready"},
                            {"labels", report.labels},
                            {"capacity",
@@ -237,6 +240,16 @@
     store.apply({{}, {{names::OperatorTable, names::ConfigurationKey, body.dump(), {}, false}}, {}});
 }
 
+void SoakPlatform::evacuate(const DataCentreId &dataCentre)
+{
+    store.apply({{}, {{names::OperatorTable, names::EvacuationKeyPrefix + dataCentre.value(), "", {}, false}}, {}});
+}
+
+void SoakPlatform::endEvacuation(const DataCentreId &dataCentre)
+{
+    store.apply({{}, {}, {{names::OperatorTable, names::EvacuationKeyPrefix + dataCentre.value()}}});
+}
+
 std::string SoakPlatform::newestQueuePrefix() const
 {
     return "/added" + std::to_string(m_configurationVersion) + "/";
--- a/unittests/Soak/SoakPlatform.h
+++ b/unittests/Soak/SoakPlatform.h
@@ -33,6 +33,9 @@
 
     /** Publishes the next version of the configuration, which adds one queue. */
     void changeConfiguration();
+    /** Writes or removes the operator's row that evacuates a data centre. */
+    void evacuate(const DataCentreId &dataCentre);
+    void endEvacuation(const DataCentreId &dataCentre);
     /** Path prefix of the queue that the newest configuration added. */
     std::string newestQueuePrefix() const;
 
--- a/unittests/Workflow/EvacuatedDataCentresTest.cpp
+++ b/unittests/Workflow/EvacuatedDataCentresTest.cpp
@@ -291,5 +291,57 @@
     EXPECT_EQ(m_starts, (std::map<DataCentreId, int>{{m_near, 6}, {m_far, 3}}));
 }
 
+// Guards against a task that waits for the rack of its data, which is full, because the runs left in an evacuated data
+// centre make the idle rest of the pool look busy.
+TEST(EvacuatedCapacity, doesNotCountAsUse)
+{
+    EngineHarness harness;
+    for (int i = 0; i < 16; ++i) {
+        harness.workers.add("w" + std::to_string(10 + i), "r" + std::to_string(i / 4), WorkerSize).report.dataCentre
+            = DataCentreId(i < 8 ? "near" : "far");
+    }
+    harness.startOwner();
+    harness.runFor(seconds(1));
+    for (const char *rack : {"r1", "r2", "r3"}) {
+        StepSpec full = stepOf(4, 1, 8);
+        full.dataRack = RackId(rack);
+        full.longRunning = true;
+        harness.submit(harness.job(std::string("fill-") + rack, 1, {full}), {.lasts = true});
+        harness.runFor(milliseconds(500));
+    }
+    harness.engine->setEvacuatedDataCentres({DataCentreId("far")});
+    StepSpec step = stepOf(1, 1, 1);
+    step.dataRack = RackId("r1");
+    harness.submit(harness.job("task", 1, {step}), {});
+    harness.runFor(milliseconds(2900));
+    EXPECT_EQ(harness.workers.starts({JobId("task"), 0, 0, 0}), 1U);
+}
+
+// Guards against other work that waits because workers are reserved for an urgent job, although the only worker that is
+// large enough for it is in an evacuated data centre.
+TEST(EvacuatedCapacity, isNotReservedFor)
+{
+    EngineHarness harness;
+    for (int i = 0; i < 8; ++i) {
+        harness.workers.add("w" + std::to_string(i), "r" + std::to_string(i / 2), resources(32, 4, 65536));
+    }
+    harness.workers.add("large", "r9", resources(32, 8, 65536)).report.dataCentre = DataCentreId("far");
+    harness.startOwner();
+    harness.runFor(seconds(1));
+    harness.engine->setEvacuatedDataCentres({DataCentreId("far")});
+    for (const char *rack : {"r1", "r2", "r3"}) {
+        StepSpec full = stepOf(2, 1, 4);
+        full.dataRack = RackId(rack);
+        full.longRunning = true;
+        harness.submit(harness.job(std::string("fill-") + rack, 1, {full}), {.lasts = true});
+        harness.runFor(milliseconds(500));
+    }
+    harness.submit(harness.job("urgent", 0, {stepOf(8, 1, 8)}), {});
+    harness.runFor(seconds(1));
+    harness.submit(harness.job("other", 1, {stepOf(2, 1, 4)}), {.work = seconds(1)});
+    harness.runFor(seconds(3));
+    EXPECT_EQ(harness.storedState(JobId("other")), JobState::Completed);
+}
+
 } // namespace
 } // namespace coriander::workflow
