UntrustedCallers: tests with crowds of clients outside our control

Nothing bounds what clients make coriander-node hold. The tests start the real program with 48 MiB of memory and 512 descriptors against the stand-in platform and play one small crowd each at a queue's path, an unknown path and the readiness listener, and three crowds before the first configuration. They check that the process lives, that VmHWM and the open descriptors stay under the settings, and that an ordinary job is accepted, run and shown as completed.

The setting memory_mb is read and has no effect yet; without it the tests could not state the memory of the process to the code as it stands.

VmHWM is the maximum over the crowds of one test.

The tests run one at a time (RUN_SERIAL), because each opens up to 700 connections.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -33,7 +33,8 @@
     target_link_libraries(${name} PRIVATE ${ARGN} Boost::program_options)
 endfunction()
 
-# coriander_test(NAME [libraries...]) builds unittests/<NAME>/*.cpp as the program test-<NAME>.
+# coriander_test(NAME [libraries...]) builds unittests/<NAME>/*.cpp as the program test-<NAME>. Its tests get the properties
+# in CORIANDER_TEST_PROPERTIES.
 function(coriander_test name)
     file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/unittests/${name}/*.cpp)
     if(NOT sources)
@@ -43,5 +44,5 @@
     target_link_libraries(test-${name} PRIVATE ${ARGN} GTest::gtest GTest::gtest_main)
     target_include_directories(test-${name} PRIVATE ${PROJECT_SOURCE_DIR}/unittests)
     target_compile_definitions(test-${name} PRIVATE CORIANDER_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-    gtest_discover_tests(test-${name} DISCOVERY_TIMEOUT 60)
+    gtest_discover_tests(test-${name} DISCOVERY_TIMEOUT 60 PROPERTIES ${CORIANDER_TEST_PROPERTIES})
 endfunction()
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -36,6 +36,8 @@
     double processorShare = 0.5;
     /** Number of descriptors that the process may open. */
     std::size_t descriptors = 4096;
+    /** Memory that the process may use, in MiB. */
+    std::size_t memoryMib = 512;
     /** Upper limit that workers apply to every lease. */
     Duration longestLease = std::chrono::seconds(10);
     /** How long the state of an ended job can be read. */
@@ -46,7 +48,8 @@
 
 /**
  * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`,
- * `advisor`, `processor_share`, `descriptors`, `longest_lease_ms`, `state_keep_s`, `grace_s` and `log_level`.
+ * `advisor`, `processor_share`, `descriptors`, `memory_mb`, `longest_lease_ms`, `state_keep_s`, `grace_s` and
+ * `log_level`.
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -16,6 +16,9 @@
 /** Enough for the listeners, the store and some callers and workers. */
 constexpr std::int64_t MinimumDescriptors = 256;
 constexpr std::int64_t MaximumDescriptors = 1048576;
+/** An idle process needs 9 MiB; less than this leaves nothing for requests and jobs. */
+constexpr std::int64_t MinimumMemoryMib = 32;
+constexpr std::int64_t MaximumMemoryMib = 1048576;
 /** Share of the descriptors for connections to workers and the store. */
 constexpr double OutgoingShare = 0.7;
 
@@ -60,6 +63,8 @@
     result.processorShare = readPositiveNumber(settings, "processor_share", result.processorShare, MaximumCores);
     result.descriptors = static_cast<std::size_t>(settings.integer(
         "descriptors", static_cast<std::int64_t>(result.descriptors), MinimumDescriptors, MaximumDescriptors));
+    result.memoryMib = static_cast<std::size_t>(
+        settings.integer("memory_mb", static_cast<std::int64_t>(result.memoryMib), MinimumMemoryMib, MaximumMemoryMib));
     const std::string level = settings.choice("log_level", "info", {"debug", "info", "warning", "error"});
     setLogLevel(level == "debug"         ? LogLevel::Debug
                     : level == "info"    ? LogLevel::Info
--- a/unittests/Soak/NodeProcess.cpp
+++ b/unittests/Soak/NodeProcess.cpp
@@ -33,7 +33,10 @@
     throw std::runtime_error("no free port on 127.0.0.1");
 }
 
-NodeProcess::NodeProcess(std::filesystem::path directory, std::string name, const std::string &store)
+NodeProcess::NodeProcess(std::filesystem::path directory,
+                         std::string name,
+                         const std::string &store,
+                         const std::string &furtherSettings)
     : m_directory(std::move(directory))
     , m_name(std::move(name))
     , m_callerPort(findFreePort())
@@ -42,7 +45,8 @@
     std::ofstream settings(m_directory / (m_name + ".yaml"));
     settings << "instance: " << m_name << "\ndata_centre: dc\ncaller_listen: 127.0.0.1:" << m_callerPort
              << "\nreadiness_listen: 127.0.0.1:" << m_readinessPort << "\nrelay_listen: 127.0.0.1:" << findFreePort()
-             << "\nstore: " << store << "\nprocessor_share: 0.5\nlongest_lease_ms: 10000\ngrace_s: 6\n";
+             << "\nstore: " << store << "\nprocessor_share: 0.5\nlongest_lease_ms: 10000\ngrace_s: 6\n"
+             << furtherSettings;
 }
 
 NodeProcess::~NodeProcess()
@@ -115,4 +119,9 @@
     return m_readinessPort;
 }
 
+std::optional<pid_t> NodeProcess::pid() const
+{
+    return m_pid;
+}
+
 } // namespace coriander::soak
--- a/unittests/Soak/NodeProcess.h
+++ b/unittests/Soak/NodeProcess.h
@@ -14,8 +14,12 @@
 class NodeProcess
 {
 public:
-    /** Writes the settings file. @p store is the address at which this node reaches the store. */
-    NodeProcess(std::filesystem::path directory, std::string name, const std::string &store);
+    /** Writes the settings file. @p store is the address at which this node reaches the store. @p furtherSettings are
+     * lines that are appended to the file. */
+    NodeProcess(std::filesystem::path directory,
+                std::string name,
+                const std::string &store,
+                const std::string &furtherSettings = "");
     /** Kills the process. */
     ~NodeProcess();
     NodeProcess(const NodeProcess &) = delete;
@@ -32,6 +36,8 @@
     const std::string &name() const;
     unsigned short callerPort() const;
     unsigned short readinessPort() const;
+    /** Id of the process; no value if it was not started or has ended. */
+    std::optional<pid_t> pid() const;
 
 private:
     std::filesystem::path m_directory;
--- a/unittests/Soak/SoakPlatform.cpp
+++ b/unittests/Soak/SoakPlatform.cpp
@@ -228,15 +228,24 @@
     for (int i = 1; i <= m_configurationVersion; ++i) {
         addQueue("added" + std::to_string(i), 1);
     }
-    const Json body = {
+    Json body = {
         {"version", m_configurationVersion},
         {"routes", routes},
         {"services", {{{"name", "pool"}}}},
         {"tenants", {{{"name", "org"}, {"api_keys", {Credential}}, {"guaranteed", {{"gpu", 24}}}}}},
     };
+    if (m_receiveTime) {
+        body["limits"] = {{"header_timeout_ms", std::chrono::duration_cast<milliseconds>(*m_receiveTime).count()}};
+    }
     store.apply({{}, {{names::OperatorTable, names::ConfigurationKey, body.dump(), {}, false}}, {}});
 }
 
+void SoakPlatform::setReceiveTime(Duration limit)
+{
+    m_receiveTime = limit;
+    changeConfiguration();
+}
+
 std::string SoakPlatform::newestQueuePrefix() const
 {
     return "/added" + std::to_string(m_configurationVersion) + "/";
--- a/unittests/Soak/SoakPlatform.h
+++ b/unittests/Soak/SoakPlatform.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Transport/AsyncHttpServer.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
 
     /** Publishes the next version of the configuration, which adds one queue. */
     void changeConfiguration();
+    /** Sets the time limit for receiving a request and publishes the next version of the configuration. */
+    void setReceiveTime(Duration limit);
     /** Path prefix of the queue that the newest configuration added. */
     std::string newestQueuePrefix() const;
 
@@ -70,6 +73,7 @@
     AsyncHttpServer m_storeServer;
     std::vector<WorkerHost> m_hosts;
     int m_configurationVersion = 0;
+    std::optional<Duration> m_receiveTime;
     std::int64_t m_reportSequence = 0;
 };
 
