Transport: bounds on what clients make coriander-node hold

What clients saw: a few hundred incomplete bodies of legal size grew the process beyond the memory of its VM, and a few hundred slow connections took all descriptors, so that it reached neither workers nor the store.

Cause: AsyncHttpServer bounded each request but not all of them together, and accepted connections without limit.

AsyncHttpServer now counts bytes for every request and response (ConnectionTable) and asks lib/Decision/ConnectionAdmission before a request begins, when its header is received, as a body without a length grows, and before the handler is called. The oldest incomplete request gives way; requests that are being handled are kept, and new ones get 503 with Retry-After. A refusal is sent before the handler is called, so nothing has run. Connections without a complete request, idle ones and those that do not read give way when all connections are in use; otherwise accepting pauses. Callers, readiness checks, metrics and neighbours have fixed shares, so none waits behind another. The readiness and metrics listeners take bodies of 4 KiB instead of 1 MiB. A neighbour's 503 to a relayed call counts as not sent, because its handler has not seen the call.

Submissions are scanned for the number of values before anything is allocated. The scan for the depth of nesting already existed and now counts commas, too.

The limits are settings whose defaults follow from memory_mb and descriptors. Refusals are counted by listener and reason in the metrics, and logged at most once in 10 s for each.

--- a/include/corianderscale/Transport/AsyncHttpServer.h
+++ b/include/corianderscale/Transport/AsyncHttpServer.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "corianderscale/Decision/ConnectionAdmission.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Transport/Http.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -22,6 +24,34 @@
     Duration idleTime = std::chrono::seconds(15);
 };
 
+/** Why a server did not serve a client. */
+enum class HttpRefusal {
+    /** The requests in progress hold too many bytes (503). */
+    Bytes,
+    /** An incomplete request gave way to another one (503). */
+    IncompleteGaveWay,
+    /** A connection without a complete request, or an idle one, was closed for a new one. */
+    ConnectionGaveWay,
+    /** The client's address has too many connections. */
+    AddressConnections,
+    /** All connections are in use; accepting pauses until one ends. */
+    AcceptPaused,
+    /** 413 */
+    BodyTooLarge,
+    /** 431 */
+    HeaderTooLarge,
+    /** 408 */
+    NotReceivedInTime,
+    /** 400 */
+    Malformed,
+};
+inline constexpr std::size_t HttpRefusalCount = static_cast<std::size_t>(HttpRefusal::Malformed) + 1;
+/** Number of refusals since the start, by reason. */
+using HttpRefusals = std::array<std::size_t, HttpRefusalCount>;
+
+/** Name of a reason in logs and metrics. */
+const char *httpRefusalName(HttpRefusal reason);
+
 /** Sends the response to one request. Must be called exactly once, on the thread of the event loop. */
 using AsyncHttpRespond = std::function<void(HttpResponse)>;
 using AsyncHttpHandler = std::function<void(HttpRequest request, AsyncHttpRespond respond)>;
@@ -30,7 +60,8 @@
  * HTTP/1.1 server over Boost.Beast on the caller's event loop.
  *
  * A request that is not received in time (408), whose body is too large (413) or that is malformed (400) is answered
- * without waiting for the rest of it.
+ * without waiting for the rest of it. The same holds for a request that exceeds the connection limits (503). The
+ * handler is never called for a refused request.
  *
  * Thread safety: must be used only on the thread that runs the event loop, unless a method says otherwise.
  */
@@ -52,6 +83,15 @@
     /** Sets the limits of requests that start after this call. */
     void setLimits(AsyncHttpLimits limits);
 
+    /** Sets the limits of all connections and requests together; without this call there are none. @p listener names
+     * this server in log lines. Precondition: listen() was not called. */
+    void setConnectionLimits(const decision::ConnectionLimits &limits, const std::string &listener);
+
+    const HttpRefusals &refusals() const;
+
+    /** What the server holds now; `connectionsOfAddress` is not set. */
+    decision::ConnectionLoad load() const;
+
     /** Makes every response after this call close its connection. */
     void startDraining();
 
--- a/include/corianderscale/Workflow/CallRelay.h
+++ b/include/corianderscale/Workflow/CallRelay.h
@@ -44,12 +44,17 @@
 
     CallRelay(boost::asio::io_context &loop, Serve serve, StoreRelease storeRelease);
 
+    /** Sets the limits of what neighbours send. Precondition: listen() was not called. */
+    void setConnectionLimits(const decision::ConnectionLimits &limits);
     bool listen(const std::string &address, TransportError &error);
     /** Precondition: listen() succeeded. */
     unsigned short port() const;
     void startDraining();
     void closeIdle();
     std::size_t requestsInProgress() const;
+    /** What the listener holds, and the refusals. */
+    decision::ConnectionLoad load() const;
+    const HttpRefusals &refusals() const;
 
     /** Sends a call to the instance at @p address. */
     void send(const std::string &address,
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Support/YamlReader.h"
 #include "corianderscale/Workflow/CallRelay.h"
 #include "corianderscale/Workflow/CallRouter.h"
+#include "corianderscale/Workflow/ClientLimits.h"
 #include "corianderscale/Workflow/JobIntake.h"
 #include "corianderscale/Workflow/NeighbourTable.h"
 #include "corianderscale/Workflow/NodeMetrics.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace coriander::workflow {
 
@@ -38,6 +40,7 @@
     std::size_t descriptors = 4096;
     /** Memory that the process may use, in MiB. */
     std::size_t memoryMib = 512;
+    ClientLimits clients;
     /** Upper limit that workers apply to every lease. */
     Duration longestLease = std::chrono::seconds(10);
     /** How long the state of an ended job can be read. */
@@ -49,7 +52,7 @@
 /**
  * Reads `instance`, `data_centre`, `caller_listen`, `readiness_listen`, `metrics_listen`, `relay_listen`, `store`,
  * `advisor`, `processor_share`, `descriptors`, `memory_mb`, `longest_lease_ms`, `state_keep_s`, `grace_s` and
- * `log_level`.
+ * `log_level`, and the keys of readClientLimits().
  */
 NodeSettings readNodeSettings(YamlMap &settings);
 
@@ -98,6 +101,8 @@
     virtual void startDraining() = 0;
     virtual void closeIdle() = 0;
     virtual std::size_t requestsInProgress() const = 0;
+    /** What the listeners hold and have refused. */
+    virtual std::vector<ListenerReading> listeners() const = 0;
 };
 
 /** The platform's implementations of the interfaces that an instance uses. */
--- a/include/corianderscale/Workflow/NodeMetrics.h
+++ b/include/corianderscale/Workflow/NodeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Transport/AsyncHttpServer.h"
 #include "corianderscale/Workflow/CallRouter.h"
 #include "corianderscale/Workflow/JobEngine.h"
 #include "corianderscale/Workflow/JobIntake.h"
@@ -14,9 +15,17 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace coriander::workflow {
 
+/** State of one HTTP listener. */
+struct ListenerReading {
+    std::string name;
+    decision::ConnectionLoad load;
+    HttpRefusals refusals{};
+};
+
 /**
  * Counters, gauges and latency histograms of one instance; docs/metrics.md describes them. Label values come from fixed
  * sets, so the number of series is bounded.
@@ -43,12 +52,14 @@
         std::size_t neighbours = 0;
         RoutingCounts routing;
         std::size_t requestsInProgress = 0;
+        std::vector<ListenerReading> listeners;
     };
 
     /** All series in the Prometheus text format. */
     std::string toText(const Readings &readings);
 
 private:
+    void setListener(const ListenerReading &listener);
     void setGauge(const std::string &name, const std::string &help, double value);
 
     std::shared_ptr<prometheus::Registry> m_registry;
@@ -56,6 +67,10 @@
     prometheus::Family<prometheus::Histogram> &m_callSeconds;
     prometheus::Family<prometheus::Gauge> &m_runs;
     prometheus::Family<prometheus::Gauge> &m_routed;
+    prometheus::Family<prometheus::Gauge> &m_refused;
+    prometheus::Family<prometheus::Gauge> &m_connections;
+    prometheus::Family<prometheus::Gauge> &m_incomplete;
+    prometheus::Family<prometheus::Gauge> &m_requestBytes;
 };
 
 } // namespace coriander::workflow
--- a/lib/Workflow/CallRelay.cpp
+++ b/lib/Workflow/CallRelay.cpp
@@ -15,6 +15,8 @@
 constexpr const char *RelayPath = "/v1/relay";
 constexpr const char *ReleasePath = "/v1/term-release";
 constexpr int ConflictStatus = 409;
+/** Answered only by the server, to a request that no handler has seen. */
+constexpr int NotHandledStatus = 503;
 constexpr const char *CredentialHeader = "Relay-Credential";
 /** Time that is left to the neighbour is shorter than the limit by the way back. */
 constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
@@ -157,6 +159,11 @@
 {
 }
 
+void CallRelay::setConnectionLimits(const decision::ConnectionLimits &limits)
+{
+    m_server.setConnectionLimits(limits, "relay");
+}
+
 bool CallRelay::listen(const std::string &address, TransportError &error)
 {
     return m_server.listen(address, error);
@@ -182,6 +189,16 @@
     return m_server.requestsInProgress();
 }
 
+decision::ConnectionLoad CallRelay::load() const
+{
+    return m_server.load();
+}
+
+const HttpRefusals &CallRelay::refusals() const
+{
+    return m_server.refusals();
+}
+
 void CallRelay::handle(const HttpRequest &request, const AsyncHttpRespond &respond)
 {
     if (const std::optional<RowChange> release = decodeTermRelease(request)) {
@@ -214,6 +231,10 @@
                           done({std::nullopt, sent, error.reason});
                           return;
                       }
+                      if (response->status == NotHandledStatus) {
+                          done({std::nullopt, false, "the neighbour has no memory for the call"});
+                          return;
+                      }
                       ProtocolError decodeError;
                       std::optional<RoutedAnswer> answer = decodeRoutedAnswer(*response, decodeError);
                       done({std::move(answer), true, decodeError.reason});
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -92,6 +92,9 @@
                   respond(showMetrics(request));
               }))
     {
+        m_relay.setConnectionLimits(m_settings.clients.relay);
+        m_metricsServer.setLimits(smallRequestLimits());
+        m_metricsServer.setConnectionLimits(m_settings.clients.metrics, "metrics");
     }
 
     int run()
@@ -236,6 +239,9 @@
         readings.neighbours = m_neighbours.neighbours().size();
         readings.routing = m_router.counts();
         readings.requestsInProgress = m_callerServer->requestsInProgress();
+        readings.listeners = m_callerServer->listeners();
+        readings.listeners.push_back({"relay", m_relay.load(), m_relay.refusals()});
+        readings.listeners.push_back({"metrics", m_metricsServer.load(), m_metricsServer.refusals()});
         HttpResponse response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
         response.body = m_metrics.toText(readings);
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -29,6 +29,22 @@
                    .Name("coriander_calls_routed")
                    .Help("Calls handed to neighbours, served for them or refused without the store, by event")
                    .Register(*m_registry))
+    , m_refused(prometheus::BuildGauge()
+                    .Name("coriander_clients_refused")
+                    .Help("Requests and connections that were refused since the start, by listener and reason")
+                    .Register(*m_registry))
+    , m_connections(prometheus::BuildGauge()
+                        .Name("coriander_client_connections")
+                        .Help("Open connections by listener")
+                        .Register(*m_registry))
+    , m_incomplete(prometheus::BuildGauge()
+                       .Name("coriander_incomplete_requests")
+                       .Help("Requests of which a part is missing, by listener")
+                       .Register(*m_registry))
+    , m_requestBytes(prometheus::BuildGauge()
+                         .Name("coriander_request_bytes")
+                         .Help("Bytes counted for requests and responses by listener")
+                         .Register(*m_registry))
 {
 }
 
@@ -43,6 +59,17 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(*m_registry).Add({}).Set(value);
 }
 
+void NodeMetrics::setListener(const ListenerReading &listener)
+{
+    for (std::size_t i = 0; i < HttpRefusalCount; ++i) {
+        m_refused.Add({{"listener", listener.name}, {"reason", httpRefusalName(static_cast<HttpRefusal>(i))}})
+            .Set(static_cast<double>(listener.refusals.at(i)));
+    }
+    m_connections.Add({{"listener", listener.name}}).Set(static_cast<double>(listener.load.connections));
+    m_incomplete.Add({{"listener", listener.name}}).Set(static_cast<double>(listener.load.incompleteRequests));
+    m_requestBytes.Add({{"listener", listener.name}}).Set(static_cast<double>(listener.load.bytes));
+}
+
 std::string NodeMetrics::toText(const Readings &readings)
 {
     setGauge("coriander_owner_epoch",
@@ -65,6 +92,9 @@
     setGauge("coriander_requests_in_progress",
              "Calls that are not answered yet",
              static_cast<double>(readings.requestsInProgress));
+    for (const ListenerReading &listener : readings.listeners) {
+        setListener(listener);
+    }
     if (readings.engine != nullptr) {
         const EngineCounts &counts = readings.engine->counts();
         m_runs.Add({{"event", "started"}}).Set(static_cast<double>(counts.startsSent));
--- a/lib/Workflow/NodeSettings.cpp
+++ b/lib/Workflow/NodeSettings.cpp
@@ -65,6 +65,7 @@
         "descriptors", static_cast<std::int64_t>(result.descriptors), MinimumDescriptors, MaximumDescriptors));
     result.memoryMib = static_cast<std::size_t>(
         settings.integer("memory_mb", static_cast<std::int64_t>(result.memoryMib), MinimumMemoryMib, MaximumMemoryMib));
+    result.clients = readClientLimits(settings, result.memoryMib, result.descriptors);
     const std::string level = settings.choice("log_level", "info", {"debug", "info", "warning", "error"});
     setLogLevel(level == "debug"         ? LogLevel::Debug
                     : level == "info"    ? LogLevel::Info
--- a/unittests/Platform/CallerRoutesTest.cpp
+++ b/unittests/Platform/CallerRoutesTest.cpp
@@ -122,6 +122,15 @@
     std::string m_address;
 };
 
+std::string manyValues(std::size_t bytes)
+{
+    std::string values = "1";
+    while (values.size() < bytes) {
+        values += ",1";
+    }
+    return values;
+}
+
 // Guards against one body that ends the process: the reason of the refusal quotes bytes that are not UTF-8.
 TEST_F(Callers, oddBodiesAreRefusedAndTheServerGoesOn)
 {
@@ -135,7 +144,8 @@
                                        std::string(200000, '['),
                                        R"({"steps":[{"count":1,"cpu":1e400}]})",
                                        R"({"steps":[{"count":1,"est_ms":"long"}]})",
-                                       R"({"spec":)" + std::string(5000, 'x')};
+                                       R"({"spec":)" + std::string(5000, 'x'),
+                                       R"({"steps":[{"count":1}],"unknown":[)" + manyValues(200000) + "]}"};
     for (const std::string &body : odd) {
         const HttpResponse answer = call("POST", path, body);
         EXPECT_EQ(answer.status, 400) << body.substr(0, 100);
@@ -145,6 +155,26 @@
     EXPECT_EQ(call("GET", path, "").status, 200);
 }
 
+// Guards against a limit on JSON values that refuses the largest valid submission, or counts values in strings.
+TEST_F(Callers, largestSubmissionIsAccepted)
+{
+    std::string steps;
+    for (int i = 0; i < 64; ++i) {
+        std::string after;
+        for (int j = 0; j < i; ++j) {
+            after += (j == 0 ? "" : ",") + std::to_string(j);
+        }
+        steps += std::string(i == 0 ? "" : ",")
+            + R"({"count":1,"cpu":1,"mem_mb":1,"gpu":0,"est_ms":1,"checkpoint":false,"gang":false,"same_rack":false,)"
+              R"("required_label":"","data_rack":"","max_per_server":0,"long_running":false,"fills":false,"image":"i",)"
+              R"("after":[)"
+            + after + "]}";
+    }
+    const std::string body = R"({"spec":")" + std::string(3000, ',') + R"(","steps":[)" + steps + "]}";
+    const HttpResponse answer = call("POST", "/x/5c0e7a21d94b36f8", body);
+    EXPECT_EQ(answer.status, 200) << answer.body;
+}
+
 // Guards against paths with odd bytes that end the process.
 TEST_F(Callers, oddPathsAreRefusedAndTheServerGoesOn)
 {
--- a/unittests/Workflow/CallRelayTest.cpp
+++ b/unittests/Workflow/CallRelayTest.cpp
@@ -107,6 +107,38 @@
     EXPECT_FALSE(refused.sent) << "a refused connection proves that the call did not arrive";
 }
 
+// Guards against a call that a neighbour refused for lack of memory counting as one that may have run.
+TEST(CallRelay, callThatTheNeighbourHasNoMemoryForWasNotSent)
+{
+    boost::asio::io_context loop;
+    std::size_t served = 0;
+    CallRelay server(
+        loop,
+        [&served](const CallerCall &, ConfigurationVersion, const auto &) { ++served; },
+        [](const RowChange &, const auto &) {});
+    decision::ConnectionLimits limits;
+    limits.bytes = 1000;
+    server.setConnectionLimits(limits);
+    CallRelay client(
+        loop, [](const CallerCall &, ConfigurationVersion, const auto &) {}, [](const RowChange &, const auto &) {});
+    TransportError error;
+    ASSERT_TRUE(server.listen("127.0.0.1:0", error)) << error.reason;
+    std::optional<RelayResult> result;
+    client.send("127.0.0.1:" + std::to_string(server.port()),
+                submission(),
+                ConfigurationVersion(1),
+                seconds(2),
+                [&](const RelayResult &received) {
+                    result = received;
+                    loop.stop();
+                });
+    loop.run_for(seconds(5));
+    ASSERT_TRUE(result);
+    EXPECT_FALSE(result->answer);
+    EXPECT_FALSE(result->sent) << result->reason;
+    EXPECT_EQ(served, 0U);
+}
+
 // Guards against a neighbour that releases another version of the term than the owner asked for.
 TEST(CallRelay, termReleasesKeepTheirFields)
 {
--- a/unittests/Workflow/NodeMetricsTest.cpp
+++ b/unittests/Workflow/NodeMetricsTest.cpp
@@ -18,6 +18,26 @@
     EXPECT_NE(text.find("coriander_owner_epoch 0"), std::string::npos) << text;
 }
 
+// Guards against refusals that are shown for the wrong listener or reason.
+TEST(NodeMetrics, refusalsAreShownByListenerAndReason)
+{
+    NodeMetrics metrics;
+    ListenerReading callers;
+    callers.name = "callers";
+    callers.load.connections = 7;
+    callers.refusals.at(static_cast<std::size_t>(HttpRefusal::BodyTooLarge)) = 3;
+    NodeMetrics::Readings readings;
+    readings.listeners = {callers, {"readiness", {}, {}}};
+    const std::string text = metrics.toText(readings);
+    EXPECT_NE(text.find("coriander_clients_refused{listener=\"callers\",reason=\"body-too-large\"} 3"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("coriander_clients_refused{listener=\"readiness\",reason=\"body-too-large\"} 0"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("coriander_client_connections{listener=\"callers\"} 7"), std::string::npos) << text;
+}
+
 // Guards against invalid settings that are accepted.
 TEST(NodeSettings, wrongSettingsAreFaults)
 {
