Transport: new connections have time to send their request

What clients saw: while 400 clients connected again as soon as their connections were closed, ordinary clients had their connections closed before they had sent a request.

Cause: the oldest connection without a request gave way at once to the next one, so the clients that came back fastest pushed out all others.

A new connection is now kept for 300 ms, more than a round trip. Accepting pauses meanwhile, and the other clients wait in the kernel's queue. A timer runs only while accepting pauses.

--- a/include/corianderscale/Decision/ConnectionAdmission.h
+++ b/include/corianderscale/Decision/ConnectionAdmission.h
@@ -29,6 +29,8 @@
     std::size_t idleConnections = 0;
     /** Connections whose client has not taken the whole response. */
     std::size_t unreadResponses = 0;
+    /** Whether the oldest new connection has not had the time to send a request. */
+    bool isOldestNewRecent = false;
     /** Connections from the client's address. */
     std::size_t connectionsOfAddress = 0;
 };
@@ -68,9 +70,10 @@
  *
  * Load pattern: clients open more connections than the process has descriptors and send nothing or only parts of
  * requests, or send requests and read no responses. Connections that have never sent a complete request give way to new
- * ones, so that an ordinary client is served while such clients keep coming. Connections that have sent one are closed
- * only when all connections are in use and they are idle, which HTTP permits at any time, or else if their client does
- * not read. Connections whose request is being handled are never closed.
+ * ones, so that an ordinary client is served while such clients keep coming. They are kept until they have had the time
+ * to send a request; otherwise clients that connect again at once push out ordinary ones. Connections that have sent
+ * one are closed only when all connections are in use and they are idle, which HTTP permits at any time, or else if
+ * their client does not read. Connections whose request is being handled are never closed.
  *
  * Thread safety: pure.
  */
--- a/include/corianderscale/Transport/AsyncHttpServer.h
+++ b/include/corianderscale/Transport/AsyncHttpServer.h
@@ -34,7 +34,7 @@
     ConnectionGaveWay,
     /** The client's address has too many connections. */
     AddressConnections,
-    /** All connections are in use; accepting pauses until one ends. */
+    /** All connections are in use or have just been opened; accepting pauses until one may give way. */
     AcceptPaused,
     /** 413 */
     BodyTooLarge,
@@ -89,7 +89,7 @@
 
     const HttpRefusals &refusals() const;
 
-    /** What the server holds now; `connectionsOfAddress` is not set. */
+    /** What the server holds now; `connectionsOfAddress` and `isOldestNewRecent` are not set. */
     decision::ConnectionLoad load() const;
 
     /** Makes every response after this call close its connection. */
--- a/lib/Decision/ConnectionAdmission.cpp
+++ b/lib/Decision/ConnectionAdmission.cpp
@@ -33,9 +33,12 @@
     if (!full && !isReached(limits.newConnections, load.newConnections)) {
         return ConnectionVerdict::Admit;
     }
-    if (load.newConnections > 0) {
+    if (load.newConnections > 0 && !load.isOldestNewRecent) {
         return ConnectionVerdict::DropOldestNew;
     }
+    if (!full) {
+        return ConnectionVerdict::Wait;
+    }
     if (load.idleConnections > 0) {
         return ConnectionVerdict::DropOldestIdle;
     }
--- a/lib/Transport/AsyncHttpServer.cpp
+++ b/lib/Transport/AsyncHttpServer.cpp
@@ -39,7 +39,7 @@
 
 void AsyncHttpServer::Implementation::accept()
 {
-    switch (decision::decideConnection(m_connections.limits(), m_connections.load())) {
+    switch (m_connections.decideConnection()) {
     case decision::ConnectionVerdict::Admit:
         acceptNow();
         return;
@@ -65,6 +65,19 @@
 {
     m_acceptPaused = true;
     m_connections.countRefusal(HttpRefusal::AcceptPaused);
+    waitForOldestNew();
+}
+
+void AsyncHttpServer::Implementation::waitForOldestNew()
+{
+    if (m_connections.load().newConnections > 0) {
+        m_acceptRetryTimer.expires_at(m_connections.oldestNewRecentUntil());
+        m_acceptRetryTimer.async_wait([self = shared_from_this()](boost::system::error_code code) {
+            if (!code) {
+                self->resumeAccept();
+            }
+        });
+    }
 }
 
 void AsyncHttpServer::Implementation::acceptNow()
@@ -106,7 +119,7 @@
 bool AsyncHttpServer::Implementation::makeRoomForConnection()
 {
     while (true) {
-        switch (decision::decideConnection(m_connections.limits(), m_connections.load())) {
+        switch (m_connections.decideConnection()) {
         case decision::ConnectionVerdict::Admit:
             return true;
         case decision::ConnectionVerdict::DropOldestNew:
@@ -130,9 +143,15 @@
 
 void AsyncHttpServer::Implementation::resumeAccept()
 {
-    if (std::exchange(m_acceptPaused, false) && m_acceptor.is_open()) {
-        accept();
+    if (!m_acceptPaused || !m_acceptor.is_open()) {
+        return;
     }
+    if (m_connections.decideConnection() == decision::ConnectionVerdict::Wait) {
+        waitForOldestNew();
+        return;
+    }
+    m_acceptPaused = false;
+    accept();
 }
 
 void AsyncHttpServer::Implementation::close(bool onlyIdle)
--- a/lib/Transport/AsyncHttpServerImplementation.h
+++ b/lib/Transport/AsyncHttpServerImplementation.h
@@ -38,6 +38,8 @@
     void accept();
     void acceptNow();
     void pauseAccept();
+    /** Resumes accepting when the oldest new connection may give way. Precondition: accepting is paused. */
+    void waitForOldestNew();
     void start(boost::asio::ip::tcp::socket socket);
     /** Closes connections until there is room for one more; returns false if all are in use. */
     bool makeRoomForConnection();
--- a/lib/Transport/AsyncHttpSession.cpp
+++ b/lib/Transport/AsyncHttpSession.cpp
@@ -230,6 +230,7 @@
         return;
     }
     m_server->m_connections.setServed(*this);
+    m_server->resumeAccept();
     const auto &message = m_parser->get();
     m_closeAfterResponse = !message.keep_alive();
     HttpRequest request;
--- a/lib/Transport/ConnectionTable.cpp
+++ b/lib/Transport/ConnectionTable.cpp
@@ -9,6 +9,9 @@
 /** Minimum time between two log lines with the same reason. */
 constexpr auto LogInterval = std::chrono::seconds(10);
 
+/** A client sends its request within a round trip after it has connected. */
+constexpr auto NewConnectionTime = std::chrono::milliseconds(300);
+
 } // namespace
 
 const char *httpRefusalName(HttpRefusal reason)
@@ -58,6 +61,7 @@
 void ConnectionTable::add(ConnectionEntry &entry)
 {
     entry.m_listed = true;
+    entry.m_recentUntil = std::chrono::steady_clock::now() + NewConnectionTime;
     m_new.push_back(entry);
     ++m_load.newConnections;
     ++m_load.connections;
@@ -147,6 +151,18 @@
     return m_new.front();
 }
 
+std::chrono::steady_clock::time_point ConnectionTable::oldestNewRecentUntil() const
+{
+    return m_new.front().m_recentUntil;
+}
+
+decision::ConnectionVerdict ConnectionTable::decideConnection() const
+{
+    decision::ConnectionLoad load = m_load;
+    load.isOldestNewRecent = !m_new.empty() && std::chrono::steady_clock::now() < oldestNewRecentUntil();
+    return decision::decideConnection(m_limits, load);
+}
+
 ConnectionEntry &ConnectionTable::oldestIdle()
 {
     return m_idle.front();
--- a/lib/Transport/ConnectionTable.h
+++ b/lib/Transport/ConnectionTable.h
@@ -29,6 +29,8 @@
 
     boost::asio::ip::address m_client;
     bool m_listed = false;
+    /** Until then, the connection is kept although it has sent no request. */
+    std::chrono::steady_clock::time_point m_recentUntil;
     /** Linked until the first complete request. */
     Hook m_newHook;
     /** Linked while a connection that has served a request waits for the next one. */
@@ -78,13 +80,17 @@
      * Precondition: load() has one of the kind. */
     ///@{
     ConnectionEntry &oldestNew();
+    /** When it may give way. */
+    std::chrono::steady_clock::time_point oldestNewRecentUntil() const;
     ConnectionEntry &oldestIdle();
     ConnectionEntry &oldestUnread();
     ConnectionEntry &oldestIncomplete();
     ///@}
 
-    /** Without `connectionsOfAddress`. */
+    /** Without `connectionsOfAddress` and `isOldestNewRecent`. */
     const decision::ConnectionLoad &load() const;
+    /** Whether another connection may be accepted now. */
+    decision::ConnectionVerdict decideConnection() const;
     decision::ConnectionLoad loadOf(const boost::asio::ip::address &client) const;
 
     /** Counts a refusal and logs it, at most one line for each reason in 10 s. */
--- a/unittests/Decision/ConnectionAdmissionTest.cpp
+++ b/unittests/Decision/ConnectionAdmissionTest.cpp
@@ -10,7 +10,7 @@
 // Guards against limits that apply to listeners for which none was set.
 TEST(ConnectionAdmission, withoutLimitsEverythingIsAdmitted)
 {
-    const ConnectionLoad load{1 << 30, 1 << 29, 100000, 100000, 100000, 100000, 100000, 100000};
+    const ConnectionLoad load{1 << 30, 1 << 29, 100000, 100000, 100000, 100000, 100000, false, 100000};
     EXPECT_EQ(decideConnection({}, load), ConnectionVerdict::Admit);
     EXPECT_EQ(decideAddress({}, load), ConnectionVerdict::Admit);
     EXPECT_EQ(decideRequest({}, load, 1 << 30), RequestVerdict::Admit);
@@ -31,6 +31,19 @@
               ConnectionVerdict::DropOldestNew);
 }
 
+// Guards against clients that connect again at once and push out those that are about to send a request.
+TEST(ConnectionAdmission, recentConnectionsAreKept)
+{
+    ConnectionLoad load{.connections = 7, .newConnections = 6, .idleConnections = 1, .isOldestNewRecent = true};
+    EXPECT_EQ(decideConnection(Limits, load), ConnectionVerdict::Wait);
+    load.connections = 10;
+    EXPECT_EQ(decideConnection(Limits, load), ConnectionVerdict::DropOldestIdle);
+    load.idleConnections = 0;
+    EXPECT_EQ(decideConnection(Limits, load), ConnectionVerdict::Wait);
+    load.isOldestNewRecent = false;
+    EXPECT_EQ(decideConnection(Limits, load), ConnectionVerdict::DropOldestNew);
+}
+
 // Guards against one address that uses up the connections of all.
 TEST(ConnectionAdmission, connectionsOfOneAddressAreBounded)
 {
