--- a/unittests/Soak/SoakPlatform.h
+++ b/unittests/Soak/SoakPlatform.h
@@ -3,6 +3,7 @@
 #include "corianderscale/Transport/AsyncHttpServer.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
     /** Writes or removes the operator's row that evacuates a data centre. */
     void evacuate(const DataCentreId &dataCentre);
     void endEvacuation(const DataCentreId &dataCentre);
+    /** Sets the time limit for receiving a request and publishes the next version of the configuration. */
+    void setReceiveTime(Duration limit);
     /** Path prefix of the queue that the newest configuration added. */
     std::string newestQueuePrefix() const;
 
@@ -73,6 +76,7 @@
     AsyncHttpServer m_storeServer;
     std::vector<WorkerHost> m_hosts;
     int m_configurationVersion = 0;
+    std::optional<Duration> m_receiveTime;
     std::int64_t m_reportSequence = 0;
 };
 
