Workflow: an unusable change feed does not stop placing; speeds in logs and metrics

Change: after a failed call the follower reads the rows, with a growing pause, instead of asking for changes again. A call waits 700 ms, so one lost answer is tolerated from a store that needs 500 ms. Claims are checked in each planning pass. A connection that opens after its call's deadline fails the call as not sent.

--- a/include/corianderscale/Workflow/EvacuationFollower.h
+++ b/include/corianderscale/Workflow/EvacuationFollower.h
@@ -32,8 +32,9 @@
 {
 public:
     struct Times {
-        /** How long a call waits for a change; the number of calls to the store is one in this time. */
-        Duration wait = std::chrono::seconds(1);
+        /** How long a call waits for a change; the number of calls to the store is one in this time. With 700 ms, one
+         * lost answer of a store that needs up to 500 ms does not exceed EngineTimes::maximumEvacuationsAge. */
+        Duration wait = std::chrono::milliseconds(700);
         /** Timeout of one call, in addition to @c wait. A store that is 70 times slower still answers within 300 ms. */
         Duration storeCallTimeout = std::chrono::milliseconds(500);
         /** Pause after a failed call. */
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -76,8 +76,8 @@
     /** Typical age of a worker's report when it is read. */
     Duration reportAge = std::chrono::milliseconds(400);
     /** Nothing is started while the last successful read of the evacuated data centres began longer ago than this. With
-     * orderTimeout it is less than the 5 s after which no task may be started in an evacuated data centre. It spans two
-     * calls that wait for a change for 1 s, or one of them and one lost answer. */
+     * orderTimeout it is less than the 5 s after which no task may be started in an evacuated data centre. It spans
+     * two calls that wait for a change, or one of them and one lost answer. */
     Duration maximumEvacuationsAge = std::chrono::milliseconds(3000);
     /** How long a worker gets no new work after it refused a start. */
     Duration refusalAvoidTime = std::chrono::seconds(2);
@@ -215,6 +215,8 @@
     const Job *job(const JobId &id) const;
     std::size_t jobCount() const;
     const EngineCounts &counts() const;
+    /** Number of workers whose learned speed is below decision::SlowSpeed. */
+    std::size_t slowWorkers() const;
     ///@}
 
 private:
@@ -351,6 +353,8 @@
     void markSpeeds(PlacementBoard &board) const;
     /** Learned speeds of the workers of a service; null while it has no slow workers. */
     const decision::WorkerSpeeds *unevenSpeeds(const ServiceName &service) const;
+    /** Lowest learned speed of these workers; 0 if none is known. */
+    double slowestSpeed(const std::vector<WorkerId> &workers) const;
     /** Whether slow workers are fast enough for the candidate's step. */
     bool canRunOnSlowWorkers(const Candidate &candidate, MonotonicTime now) const;
     /** Lowest speed of a worker for the candidate's step; 0 for any. */
--- a/include/corianderscale/Workflow/TableFollower.h
+++ b/include/corianderscale/Workflow/TableFollower.h
@@ -35,9 +35,9 @@
         Duration storeCallTimeout = std::chrono::seconds(1);
         /** Pause after a failed call. */
         Duration retryAfter = std::chrono::milliseconds(200);
-        /** Whether the call after a failed call for changes does not wait for a change. It is answered at once, so the
-         * rows are known to be current again sooner. */
-        bool asksAtOnceAfterFailure = false;
+        /** Whether all rows are read again after a failed call for changes. The read is answered at once, so the rows
+         * are known to be current again sooner, and it succeeds even if the store can't report the changes. */
+        bool readsAllAfterFailure = false;
     };
 
     struct Hooks {
--- a/lib/Transport/AsyncHttpClient.cpp
+++ b/lib/Transport/AsyncHttpClient.cpp
@@ -175,7 +175,8 @@
 
     void onConnected(boost::system::error_code code)
     {
-        if (code || m_timedOut) {
+        // After the process was stopped, the connection may be open before the timer has run.
+        if (code || m_timedOut || m_call.deadline <= std::chrono::steady_clock::now()) {
             finishWithError(code);
             return;
         }
--- a/lib/Workflow/EvacuationFollower.cpp
+++ b/lib/Workflow/EvacuationFollower.cpp
@@ -62,7 +62,7 @@
     settings.wait = times.wait;
     settings.storeCallTimeout = times.storeCallTimeout;
     settings.retryAfter = times.retryAfter;
-    settings.asksAtOnceAfterFailure = true;
+    settings.readsAllAfterFailure = true;
     return settings;
 }
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -75,6 +75,7 @@
     m_urgentReserve.apply(urgentDemand(), board, now);
     markProvenWorkers(board, now);
     dropExpiredClaims(now);
+    dropEvacuatedClaims();
     for (const auto &[key, claim] : m_claims) {
         applyClaim(claim, board, true);
     }
@@ -94,6 +95,31 @@
     }
 }
 
+double JobEngine::slowestSpeed(const std::vector<WorkerId> &workers) const
+{
+    double slowest = 0;
+    for (const WorkerId &id : workers) {
+        const auto worker = m_workers.all().find(id);
+        const auto speeds = worker == m_workers.all().end() ? m_workerSpeeds.end()
+                                                            : m_workerSpeeds.find(worker->second.report.service);
+        const std::optional<double> speed = speeds == m_workerSpeeds.end() ? std::nullopt : speeds->second.speedOf(id);
+        if (speed && (slowest == 0 || *speed < slowest)) {
+            slowest = *speed;
+        }
+    }
+    return slowest;
+}
+
+std::size_t JobEngine::slowWorkers() const
+{
+    std::size_t slow = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        const double speed = slowestSpeed({id});
+        slow += speed > 0 && speed < decision::SlowSpeed ? 1 : 0;
+    }
+    return slow;
+}
+
 const decision::WorkerSpeeds *JobEngine::unevenSpeeds(const ServiceName &service) const
 {
     const auto found = m_workerSpeeds.find(service);
@@ -527,6 +553,7 @@
               {"accelerators", step.perTask.accelerators},
               {"priority", candidate.queue->priority},
               {"late", candidate.late},
+              {"slowest_worker", slowestSpeed(workers)},
               {"slack_ms", std::chrono::duration_cast<std::chrono::milliseconds>(candidate.objective - now).count()},
               {"configuration", m_catalogue->version}});
 }
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -113,6 +113,9 @@
         setGauge("coriander_workers",
                  "Workers known to this owner",
                  static_cast<double>(readings.engine->workers().all().size()));
+        setGauge("coriander_workers_slow",
+                 "Workers whose learned speed is below three quarters of the typical one",
+                 static_cast<double>(readings.engine->slowWorkers()));
         std::size_t runsLeft = 0;
         for (const DataCentreId &dataCentre : readings.engine->evacuatedDataCentres()) {
             runsLeft += readings.engine->runsIn(dataCentre);
--- a/lib/Workflow/TableFollower.cpp
+++ b/lib/Workflow/TableFollower.cpp
@@ -1,7 +1,16 @@
 #include "corianderscale/Workflow/TableFollower.h"
 
+#include <algorithm>
+
 namespace coriander::workflow {
 
+namespace {
+
+/** Upper limit of the factor on the pause after a failed call. */
+constexpr int MaximumPauseFactor = 6;
+
+} // namespace
+
 class TableFollower::Implementation : public std::enable_shared_from_this<TableFollower::Implementation>
 {
 public:
@@ -62,7 +71,6 @@
             readPage();
             return;
         }
-        m_lastCallFailed = false;
         const std::vector<Row> rows = std::move(m_rows);
         m_rows.clear();
         m_hooks.snapshot(rows);
@@ -76,11 +84,10 @@
             return;
         }
         reportAsking();
-        const Duration wait = m_lastCallFailed && m_settings.asksAtOnceAfterFailure ? Duration(0) : m_settings.wait;
         m_store.follow(m_settings.table,
                        m_version,
-                       wait,
-                       wait + m_settings.storeCallTimeout,
+                       m_settings.wait,
+                       m_settings.wait + m_settings.storeCallTimeout,
                        [weak = weak_from_this()](const std::optional<RowPage> &page, const StateError &error) {
                            const std::shared_ptr<Implementation> self = weak.lock();
                            if (self && !self->m_stopped) {
@@ -95,12 +102,13 @@
             startSnapshot();
             return;
         }
-        m_lastCallFailed = !page;
         if (!page) {
             setReachable(false, error.reason);
-            after(m_settings.retryAfter, [this] { follow(); });
+            ++m_failedFollows;
+            after(retryPause(), [this] { m_settings.readsAllAfterFailure ? startSnapshot() : follow(); });
             return;
         }
+        m_failedFollows = 0;
         setReachable(true, {});
         m_version = std::max(m_version, page->version);
         if (!page->rows.empty()) {
@@ -116,6 +124,13 @@
         follow();
     }
 
+    /** Grows with the failures in a row, so that a call that always fails is not repeated at a high rate. */
+    Duration retryPause() const
+    {
+        return m_settings.readsAllAfterFailure ? m_settings.retryAfter * std::min(m_failedFollows, MaximumPauseFactor)
+                                               : m_settings.retryAfter;
+    }
+
     void reportAsking()
     {
         if (m_hooks.asking) {
@@ -159,7 +174,8 @@
     RowVersion m_version;
     bool m_hasVersion = false;
     bool m_reachable = true;
-    bool m_lastCallFailed = false;
+    /** Number of calls for changes that failed since the last one that succeeded. */
+    int m_failedFollows = 0;
     bool m_stopped = false;
 };
 
