Transport: AsyncHttpServer.cpp can be built by itself again

The definitions of Session, ConnectionTable and ConnectionAdmission are in headers now. Refusals are reported through a hook, and logRefusals() makes the hook that writes the log line, which is as before. The same sources link without fmt again.

--- a/include/corianderscale/Decision/ConnectionAdmission.h
+++ b/include/corianderscale/Decision/ConnectionAdmission.h
@@ -101,4 +101,81 @@
 /** Bytes to count for a complete request until its response. Thread safety: pure. */
 std::size_t completeRequestBytes(const RequestSize &size);
 
+// Defined here, because AsyncHttpServer.cpp is also built without the library of the decisions.
+
+namespace detail {
+
+/** A header field is kept as a node of a list and of a map with two strings: about 250 bytes besides its text. */
+inline constexpr std::size_t FieldBytes = 256;
+/** The text of a header is held by the parser and by the request. */
+inline constexpr std::size_t HeaderCopies = 2;
+/** A string that grows without a known length has a capacity of up to twice its size. */
+inline constexpr std::size_t GrowthFactor = 2;
+/** The next part of a body without a length. */
+inline constexpr std::size_t NextPartBytes = 16 * 1024;
+/** Until its response, a body is held by the request, the call, the job and the row that is written. */
+inline constexpr std::size_t BodyCopies = 4;
+
+inline bool isReached(std::size_t limit, std::size_t count)
+{
+    return limit != 0 && count >= limit;
+}
+
+inline std::size_t headerCost(const RequestSize &size)
+{
+    return HeaderCopies * size.headerBytes + FieldBytes * size.headerFields;
+}
+
+} // namespace detail
+
+inline ConnectionVerdict decideConnection(const ConnectionLimits &limits, const ConnectionLoad &load)
+{
+    const bool full = detail::isReached(limits.connections, load.connections);
+    if (!full && !detail::isReached(limits.newConnections, load.newConnections)) {
+        return ConnectionVerdict::Admit;
+    }
+    if (load.newConnections > 0 && !load.isOldestNewRecent) {
+        return ConnectionVerdict::DropOldestNew;
+    }
+    if (!full) {
+        return ConnectionVerdict::Wait;
+    }
+    if (load.idleConnections > 0) {
+        return ConnectionVerdict::DropOldestIdle;
+    }
+    const bool unread = load.unreadResponses > 0 && !load.isOldestUnreadRecent;
+    return unread ? ConnectionVerdict::DropOldestUnread : ConnectionVerdict::Wait;
+}
+
+inline ConnectionVerdict decideAddress(const ConnectionLimits &limits, const ConnectionLoad &load)
+{
+    return detail::isReached(limits.connectionsPerAddress, load.connectionsOfAddress) ? ConnectionVerdict::Refuse
+                                                                                      : ConnectionVerdict::Admit;
+}
+
+inline RequestVerdict decideRequest(const ConnectionLimits &limits, const ConnectionLoad &load, std::size_t neededBytes)
+{
+    const bool tooMany = detail::isReached(limits.incompleteRequests, load.incompleteRequests);
+    const bool fits = limits.bytes == 0 || load.bytes + neededBytes <= limits.bytes;
+    if (fits && !tooMany) {
+        return RequestVerdict::Admit;
+    }
+    // Giving up incomplete requests must make enough room; otherwise they would be lost for nothing.
+    const std::size_t kept = load.bytes - load.incompleteBytes;
+    const bool canFit = limits.bytes == 0 || kept + neededBytes <= limits.bytes;
+    return canFit && load.incompleteRequests > 0 ? RequestVerdict::DropOldestIncomplete : RequestVerdict::Refuse;
+}
+
+inline std::size_t incompleteRequestBytes(const RequestSize &size)
+{
+    const std::size_t body
+        = size.hasLength ? size.bodyBytes : detail::GrowthFactor * size.bodyBytes + detail::NextPartBytes;
+    return detail::headerCost(size) + body;
+}
+
+inline std::size_t completeRequestBytes(const RequestSize &size)
+{
+    return detail::headerCost(size) + detail::BodyCopies * size.bodyBytes;
+}
+
 } // namespace coriander::decision
--- a/include/corianderscale/Transport/AsyncHttpServer.h
+++ b/include/corianderscale/Transport/AsyncHttpServer.h
@@ -49,6 +49,18 @@
 /** Number of refusals since the start, by reason. */
 using HttpRefusals = std::array<std::size_t, HttpRefusalCount>;
 
+/** A refusal, and what the server held at that time. */
+struct HttpRefusalReport {
+    HttpRefusal reason = HttpRefusal::Bytes;
+    /** Number of refusals for this reason so far. */
+    std::size_t count = 0;
+    decision::ConnectionLoad load;
+    decision::ConnectionLimits limits;
+};
+
+/** Called on the thread of the event loop, at most once in 10 s for each reason. */
+using HttpRefusalHook = std::function<void(const HttpRefusalReport &)>;
+
 /** Name of a reason in logs and metrics. */
 const char *httpRefusalName(HttpRefusal reason);
 
@@ -83,9 +95,9 @@
     /** Sets the limits of requests that start after this call. */
     void setLimits(AsyncHttpLimits limits);
 
-    /** Sets the limits of all connections and requests together; without this call there are none. @p listener names
-     * this server in log lines. Precondition: listen() was not called. */
-    void setConnectionLimits(const decision::ConnectionLimits &limits, const std::string &listener);
+    /** Sets the limits of all connections and requests together; without this call there are none. @p onRefusal may be
+     * empty. Precondition: listen() was not called. */
+    void setConnectionLimits(const decision::ConnectionLimits &limits, HttpRefusalHook onRefusal = {});
 
     const HttpRefusals &refusals() const;
 
--- a/lib/Transport/AsyncHttpServer.cpp
+++ b/lib/Transport/AsyncHttpServer.cpp
@@ -3,21 +3,43 @@
 #include <optional>
 #include <utility>
 
-#include "AsyncHttpServerImplementation.h"
+#include "AsyncHttpSession.h"
 #include "UriText.h"
 
 namespace coriander {
 
 namespace {
 
-namespace asio = boost::asio;
-using Tcp = asio::ip::tcp;
-
 /** Delay before accepting again after a failure, for example when no file descriptor is free. */
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
+const char *httpRefusalName(HttpRefusal reason)
+{
+    switch (reason) {
+    case HttpRefusal::Bytes:
+        return "bytes";
+    case HttpRefusal::IncompleteGaveWay:
+        return "incomplete-gave-way";
+    case HttpRefusal::ConnectionGaveWay:
+        return "connection-gave-way";
+    case HttpRefusal::AddressConnections:
+        return "address-connections";
+    case HttpRefusal::AcceptPaused:
+        return "accept-paused";
+    case HttpRefusal::BodyTooLarge:
+        return "body-too-large";
+    case HttpRefusal::HeaderTooLarge:
+        return "header-too-large";
+    case HttpRefusal::NotReceivedInTime:
+        return "not-received-in-time";
+    case HttpRefusal::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
 bool AsyncHttpServer::Implementation::listen(const std::string &address, TransportError &error)
 {
     const std::optional<Tcp::endpoint> endpoint = parseAddress(address);
@@ -203,9 +225,9 @@
     m_implementation->m_limits = limits;
 }
 
-void AsyncHttpServer::setConnectionLimits(const decision::ConnectionLimits &limits, const std::string &listener)
+void AsyncHttpServer::setConnectionLimits(const decision::ConnectionLimits &limits, HttpRefusalHook onRefusal)
 {
-    m_implementation->m_connections.setLimits(limits, listener);
+    m_implementation->m_connections.setLimits(limits, std::move(onRefusal));
 }
 
 const HttpRefusals &AsyncHttpServer::refusals() const
--- a/lib/Transport/AsyncHttpSession.cpp
+++ b/lib/Transport/AsyncHttpSession.h
@@ -1,3 +1,8 @@
+#pragma once
+
+// Definitions of AsyncHttpServer::Implementation::Session. AsyncHttpServer.cpp is built by itself into stand-ins of the
+// platform, so all that it needs is in headers.
+
 #include <utility>
 
 #include "AsyncHttpServerImplementation.h"
@@ -5,24 +10,20 @@
 
 namespace coriander {
 
-namespace {
-
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
 /** A larger read buffer is freed between two requests; requests without a body fit into a smaller one. */
-constexpr std::size_t KeptBufferBytes = 4 * 1024;
+inline constexpr std::size_t KeptBufferBytes = 4 * 1024;
 /** A response that the peer has not read after this time is abandoned and the connection closed. */
-constexpr auto WriteTimeout = std::chrono::seconds(5);
+inline constexpr auto WriteTimeout = std::chrono::seconds(5);
 /** Time after which a client that was refused for lack of room may find some. */
-constexpr const char *RetryAfterSeconds = "1";
-
-} // namespace
+inline constexpr const char *RetryAfterSeconds = "1";
 
-AsyncHttpServer::Implementation::Session::Session(std::shared_ptr<Implementation> server,
-                                                  Tcp::socket socket,
-                                                  const asio::ip::address &client)
+inline AsyncHttpServer::Implementation::Session::Session(std::shared_ptr<Implementation> server,
+                                                         Tcp::socket socket,
+                                                         const asio::ip::address &client)
     : ConnectionEntry(client)
     , m_server(std::move(server))
     , m_socket(std::move(socket))
@@ -30,7 +31,7 @@
 {
 }
 
-void AsyncHttpServer::Implementation::Session::waitForRequest()
+inline void AsyncHttpServer::Implementation::Session::waitForRequest()
 {
     m_inRequest = false;
     m_parser.reset();
@@ -53,7 +54,7 @@
     });
 }
 
-void AsyncHttpServer::Implementation::Session::end()
+inline void AsyncHttpServer::Implementation::Session::end()
 {
     m_server->m_connections.remove(*this);
     if (m_ended) {
@@ -68,7 +69,7 @@
     m_server->resumeAccept();
 }
 
-void AsyncHttpServer::Implementation::Session::giveWay()
+inline void AsyncHttpServer::Implementation::Session::giveWay()
 {
     m_gaveWay = true;
     m_server->m_connections.setBytes(*this, 0);
@@ -76,12 +77,12 @@
     interrupt();
 }
 
-bool AsyncHttpServer::Implementation::Session::isIdle() const
+inline bool AsyncHttpServer::Implementation::Session::isIdle() const
 {
     return !m_inRequest;
 }
 
-void AsyncHttpServer::Implementation::Session::startTimer(Duration limit)
+inline void AsyncHttpServer::Implementation::Session::startTimer(Duration limit)
 {
     m_timedOut = false;
     m_timer.expires_after(limit);
@@ -96,12 +97,12 @@
     });
 }
 
-void AsyncHttpServer::Implementation::Session::stopTimer()
+inline void AsyncHttpServer::Implementation::Session::stopTimer()
 {
     m_timer.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
-void AsyncHttpServer::Implementation::Session::interrupt()
+inline void AsyncHttpServer::Implementation::Session::interrupt()
 {
     // cancel() would have no effect between two parts of a read or write; the next part fails after these calls.
     boost::system::error_code ignored;
@@ -113,13 +114,13 @@
     m_socket.cancel(ignored);
 }
 
-bool AsyncHttpServer::Implementation::Session::hasUnreadRequest() const
+inline bool AsyncHttpServer::Implementation::Session::hasUnreadRequest() const
 {
     boost::system::error_code ignored;
     return !m_inRequest && m_socket.available(ignored) > 0;
 }
 
-void AsyncHttpServer::Implementation::Session::readRequest()
+inline void AsyncHttpServer::Implementation::Session::readRequest()
 {
     m_inRequest = true;
     m_parser.emplace();
@@ -136,7 +137,7 @@
     readSome();
 }
 
-void AsyncHttpServer::Implementation::Session::readSome()
+inline void AsyncHttpServer::Implementation::Session::readSome()
 {
     http::async_read_some(
         m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code code, std::size_t) {
@@ -144,7 +145,7 @@
         });
 }
 
-void AsyncHttpServer::Implementation::Session::onSomeRead(boost::system::error_code code)
+inline void AsyncHttpServer::Implementation::Session::onSomeRead(boost::system::error_code code)
 {
     if (m_ended) {
         return;
@@ -167,7 +168,7 @@
     readSome();
 }
 
-const decision::RequestSize &AsyncHttpServer::Implementation::Session::measure()
+inline const decision::RequestSize &AsyncHttpServer::Implementation::Session::measure()
 {
     if (m_size.headerBytes == 0) {
         m_size.headerBytes = m_parser->get().target().size();
@@ -182,7 +183,7 @@
     return m_size;
 }
 
-bool AsyncHttpServer::Implementation::Session::reserve(std::size_t bytes)
+inline bool AsyncHttpServer::Implementation::Session::reserve(std::size_t bytes)
 {
     ConnectionTable &connections = m_server->m_connections;
     while (true) {
@@ -206,7 +207,7 @@
     }
 }
 
-void AsyncHttpServer::Implementation::Session::refuse(HttpRefusal reason)
+inline void AsyncHttpServer::Implementation::Session::refuse(HttpRefusal reason)
 {
     m_server->m_connections.countRefusal(reason);
     HttpResponse response = errorResponse(503, "overloaded", "the requests in progress use all memory for requests");
@@ -214,7 +215,7 @@
     closeWith(std::move(response));
 }
 
-void AsyncHttpServer::Implementation::Session::closeWith(HttpResponse response)
+inline void AsyncHttpServer::Implementation::Session::closeWith(HttpResponse response)
 {
     m_server->m_connections.setComplete(*this);
     m_parser.reset();
@@ -224,7 +225,7 @@
     respond(std::move(response));
 }
 
-void AsyncHttpServer::Implementation::Session::onRequestRead(boost::system::error_code code)
+inline void AsyncHttpServer::Implementation::Session::onRequestRead(boost::system::error_code code)
 {
     stopTimer();
     if (!code) {
@@ -249,7 +250,7 @@
     }
 }
 
-void AsyncHttpServer::Implementation::Session::handle()
+inline void AsyncHttpServer::Implementation::Session::handle()
 {
     m_server->m_connections.setComplete(*this);
     if (!reserve(decision::completeRequestBytes(measure()))) {
@@ -273,7 +274,7 @@
                         [self = shared_from_this()](HttpResponse response) { self->respond(std::move(response)); });
 }
 
-void AsyncHttpServer::Implementation::Session::respond(HttpResponse response)
+inline void AsyncHttpServer::Implementation::Session::respond(HttpResponse response)
 {
     m_response = http::response<http::string_body>(static_cast<http::status>(response.status), 11);
     for (const auto &[name, value] : response.headers) {
@@ -293,7 +294,7 @@
     });
 }
 
-void AsyncHttpServer::Implementation::Session::onResponseWritten(boost::system::error_code code)
+inline void AsyncHttpServer::Implementation::Session::onResponseWritten(boost::system::error_code code)
 {
     stopTimer();
     m_writing = false;
--- a/lib/Transport/ConnectionTable.h
+++ b/lib/Transport/ConnectionTable.h
@@ -11,10 +11,15 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <string>
+#include <utility>
 
 namespace coriander {
 
+/** Minimum time between two reports of refusals with the same reason. */
+inline constexpr auto RefusalReportInterval = std::chrono::seconds(10);
+/** A client sends its request, and takes its response, within a round trip. */
+inline constexpr auto RecentConnectionTime = std::chrono::milliseconds(300);
+
 /** A connection in a ConnectionTable; changed only by the table. */
 class ConnectionEntry
 {
@@ -54,8 +59,8 @@
 class ConnectionTable
 {
 public:
-    /** @p listener names the server in log lines. */
-    void setLimits(const decision::ConnectionLimits &limits, const std::string &listener);
+    /** @p onRefusal may be empty. */
+    void setLimits(const decision::ConnectionLimits &limits, HttpRefusalHook onRefusal);
     const decision::ConnectionLimits &limits() const;
 
     /** Adds a connection that has not sent anything. Precondition: it is not in the table. */
@@ -98,7 +103,7 @@
     decision::ConnectionVerdict decideConnection() const;
     decision::ConnectionLoad loadOf(const boost::asio::ip::address &client) const;
 
-    /** Counts a refusal and logs it, at most one line for each reason in 10 s. */
+    /** Counts a refusal and reports it, at most once in 10 s for each reason. */
     void countRefusal(HttpRefusal reason);
     const HttpRefusals &refusals() const;
 
@@ -112,14 +117,215 @@
 
     decision::ConnectionLimits m_limits;
     decision::ConnectionLoad m_load;
-    std::string m_listener;
+    HttpRefusalHook m_onRefusal;
     List<&ConnectionEntry::m_newHook> m_new;
     List<&ConnectionEntry::m_idleHook> m_idle;
     List<&ConnectionEntry::m_unreadHook> m_unread;
     List<&ConnectionEntry::m_incompleteHook> m_incomplete;
     std::map<boost::asio::ip::address, std::size_t> m_addresses;
     HttpRefusals m_refusals{};
-    std::array<std::chrono::steady_clock::time_point, HttpRefusalCount> m_nextLogAt{};
+    std::array<std::chrono::steady_clock::time_point, HttpRefusalCount> m_nextReportAt{};
 };
 
+inline void ConnectionTable::unlink(ConnectionEntry::Hook &hook, std::size_t &count)
+{
+    if (hook.is_linked()) {
+        hook.unlink();
+        --count;
+    }
+}
+
+inline void ConnectionTable::setLimits(const decision::ConnectionLimits &limits, HttpRefusalHook onRefusal)
+{
+    m_limits = limits;
+    m_onRefusal = std::move(onRefusal);
+}
+
+inline const decision::ConnectionLimits &ConnectionTable::limits() const
+{
+    return m_limits;
+}
+
+inline void ConnectionTable::add(ConnectionEntry &entry)
+{
+    entry.m_listed = true;
+    entry.m_recentUntil = std::chrono::steady_clock::now() + RecentConnectionTime;
+    m_new.push_back(entry);
+    ++m_load.newConnections;
+    ++m_load.connections;
+    ++m_addresses[entry.m_client];
+}
+
+inline void ConnectionTable::remove(ConnectionEntry &entry)
+{
+    setBytes(entry, 0);
+    setComplete(entry);
+    setServed(entry);
+    unlink(entry.m_idleHook, m_load.idleConnections);
+    unlink(entry.m_unreadHook, m_load.unreadResponses);
+    if (!entry.m_listed) {
+        return;
+    }
+    entry.m_listed = false;
+    --m_load.connections;
+    const auto address = m_addresses.find(entry.m_client);
+    if (--address->second == 0) {
+        m_addresses.erase(address);
+    }
+}
+
+inline void ConnectionTable::setIdle(ConnectionEntry &entry)
+{
+    unlink(entry.m_unreadHook, m_load.unreadResponses);
+    if (entry.m_listed && !entry.m_newHook.is_linked()) {
+        m_idle.push_back(entry);
+        ++m_load.idleConnections;
+    }
+}
+
+inline void ConnectionTable::setIncomplete(ConnectionEntry &entry)
+{
+    unlink(entry.m_idleHook, m_load.idleConnections);
+    unlink(entry.m_unreadHook, m_load.unreadResponses);
+    if (!entry.m_listed) {
+        return;
+    }
+    entry.m_renewed = false;
+    m_incomplete.push_back(entry);
+    ++m_load.incompleteRequests;
+    m_load.incompleteBytes += entry.m_bytes;
+}
+
+inline void ConnectionTable::setComplete(ConnectionEntry &entry)
+{
+    if (entry.m_incompleteHook.is_linked()) {
+        entry.m_incompleteHook.unlink();
+        --m_load.incompleteRequests;
+        m_load.incompleteBytes -= entry.m_bytes;
+    }
+}
+
+inline void ConnectionTable::setServed(ConnectionEntry &entry)
+{
+    unlink(entry.m_newHook, m_load.newConnections);
+}
+
+inline void ConnectionTable::setUnread(ConnectionEntry &entry)
+{
+    if (entry.m_listed && !entry.m_unreadHook.is_linked()) {
+        entry.m_recentUntil = std::chrono::steady_clock::now() + RecentConnectionTime;
+        m_unread.push_back(entry);
+        ++m_load.unreadResponses;
+    }
+}
+
+inline void ConnectionTable::setBytes(ConnectionEntry &entry, std::size_t bytes)
+{
+    m_load.bytes = m_load.bytes - entry.m_bytes + bytes;
+    if (entry.m_incompleteHook.is_linked()) {
+        m_load.incompleteBytes = m_load.incompleteBytes - entry.m_bytes + bytes;
+    }
+    entry.m_bytes = bytes;
+}
+
+inline decision::RequestVerdict ConnectionTable::decide(const ConnectionEntry &entry, std::size_t bytes) const
+{
+    decision::ConnectionLoad others = m_load;
+    others.bytes -= entry.m_bytes;
+    if (entry.m_incompleteHook.is_linked()) {
+        others.incompleteBytes -= entry.m_bytes;
+        --others.incompleteRequests;
+    }
+    return decision::decideRequest(m_limits, others, bytes);
+}
+
+inline ConnectionEntry &ConnectionTable::oldestNew()
+{
+    return m_new.front();
+}
+
+inline std::optional<std::chrono::steady_clock::time_point> ConnectionTable::nextToGiveWayAt() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::optional<std::chrono::steady_clock::time_point> next;
+    for (const ConnectionEntry *oldest :
+         {m_new.empty() ? nullptr : &m_new.front(), m_unread.empty() ? nullptr : &m_unread.front()}) {
+        if (oldest != nullptr && oldest->m_recentUntil > now && (!next || oldest->m_recentUntil < *next)) {
+            next = oldest->m_recentUntil;
+        }
+    }
+    return next;
+}
+
+inline decision::ConnectionVerdict ConnectionTable::decideConnection() const
+{
+    decision::ConnectionLoad load = m_load;
+    const auto now = std::chrono::steady_clock::now();
+    load.isOldestNewRecent = !m_new.empty() && now < m_new.front().m_recentUntil;
+    load.isOldestUnreadRecent = !m_unread.empty() && now < m_unread.front().m_recentUntil;
+    return decision::decideConnection(m_limits, load);
+}
+
+inline bool ConnectionTable::renew(ConnectionEntry &entry)
+{
+    if (entry.m_renewed) {
+        return false;
+    }
+    entry.m_renewed = true;
+    entry.m_recentUntil = std::chrono::steady_clock::now() + RecentConnectionTime;
+    if (entry.m_newHook.is_linked()) {
+        entry.m_newHook.unlink();
+        m_new.push_back(entry);
+    } else if (entry.m_idleHook.is_linked()) {
+        entry.m_idleHook.unlink();
+        m_idle.push_back(entry);
+    }
+    return true;
+}
+
+inline ConnectionEntry &ConnectionTable::oldestIdle()
+{
+    return m_idle.front();
+}
+
+inline ConnectionEntry &ConnectionTable::oldestUnread()
+{
+    return m_unread.front();
+}
+
+inline ConnectionEntry &ConnectionTable::oldestIncomplete()
+{
+    return m_incomplete.front();
+}
+
+inline const decision::ConnectionLoad &ConnectionTable::load() const
+{
+    return m_load;
+}
+
+inline decision::ConnectionLoad ConnectionTable::loadOf(const boost::asio::ip::address &client) const
+{
+    decision::ConnectionLoad load = m_load;
+    const auto address = m_addresses.find(client);
+    load.connectionsOfAddress = address == m_addresses.end() ? 0 : address->second;
+    return load;
+}
+
+inline void ConnectionTable::countRefusal(HttpRefusal reason)
+{
+    const auto index = static_cast<std::size_t>(reason);
+    ++m_refusals.at(index);
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_onRefusal || now < m_nextReportAt.at(index)) {
+        return;
+    }
+    m_nextReportAt.at(index) = now + RefusalReportInterval;
+    m_onRefusal({reason, m_refusals.at(index), m_load, m_limits});
+}
+
+inline const HttpRefusals &ConnectionTable::refusals() const
+{
+    return m_refusals;
+}
+
 } // namespace coriander
--- a/lib/Workflow/CallRelay.cpp
+++ b/lib/Workflow/CallRelay.cpp
@@ -1,6 +1,7 @@
 #include "corianderscale/Workflow/CallRelay.h"
 
 #include "corianderscale/Transport/GuardedHandler.h"
+#include "corianderscale/Transport/RefusalLog.h"
 
 #include <nlohmann/json.hpp>
 
@@ -161,7 +162,7 @@
 
 void CallRelay::setConnectionLimits(const decision::ConnectionLimits &limits)
 {
-    m_server.setConnectionLimits(limits, "relay");
+    m_server.setConnectionLimits(limits, logRefusals("relay"));
 }
 
 bool CallRelay::listen(const std::string &address, TransportError &error)
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -4,6 +4,7 @@
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Transport/AsyncHttpServer.h"
 #include "corianderscale/Transport/GuardedHandler.h"
+#include "corianderscale/Transport/RefusalLog.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -95,7 +96,7 @@
     {
         m_relay.setConnectionLimits(m_settings.clients.relay);
         m_metricsServer.setLimits(smallRequestLimits());
-        m_metricsServer.setConnectionLimits(m_settings.clients.metrics, "metrics");
+        m_metricsServer.setConnectionLimits(m_settings.clients.metrics, logRefusals("metrics"));
     }
 
     int run()
--- a/unittests/Transport/AsyncHttpLimitsTest.cpp
+++ b/unittests/Transport/AsyncHttpLimitsTest.cpp
@@ -85,7 +85,7 @@
 
     void listen(const decision::ConnectionLimits &limits)
     {
-        m_server.setConnectionLimits(limits, "test");
+        m_server.setConnectionLimits(limits);
         TransportError error;
         ASSERT_TRUE(m_server.listen("127.0.0.1:0", error)) << error.reason;
     }
