Workflow: a withdrawal outlives late writes and takeovers

A withdrawal is kept for more than 120 s, a write without an answer takes effect after 6 s at most. Both tests pass on the code as it is and fail with the withdrawal taken out of JobIntake::cancel().

--- a/unittests/Workflow/WithdrawalOrdersTest.cpp
+++ b/unittests/Workflow/WithdrawalOrdersTest.cpp
@@ -1,9 +1,11 @@
 #include "corianderscale/Workflow/JobIntake.h"
+#include "corianderscale/Workflow/StateSweeper.h"
 
 #include <cstddef>
 #include <deque>
 #include <memory>
 
+#include "Workflow/EngineHarness.h"
 #include "Workflow/FakeRowStore.h"
 
 namespace coriander::workflow {
@@ -272,5 +274,58 @@
     EXPECT_GT(acknowledged, orders.size() / 2);
 }
 
+// Guards against a withdrawal that is swept while a write that the store carries out late may still be under way.
+TEST(WithdrawalOrders, withdrawalIsKeptLongerThanAWriteTakes)
+{
+    Timeline timeline;
+    FakeRowStore store(timeline);
+    JobIntake intake({}, timeline.clock(), store, [&timeline](Duration pause, std::function<void()> next) {
+        timeline.after(pause, std::move(next));
+    });
+    StateSweeper sweeper({}, timeline.clock(), store);
+    intake.cancel(makeJob().id, timeline.now() + seconds(2), [](const CallAnswer &) {});
+    for (int second = 0; second < 120; ++second) {
+        timeline.runFor(seconds(1));
+        sweeper.step();
+        ASSERT_NE(store.find(StatesTable, makeJob().id.value()), nullptr) << "swept after " << second << " s";
+    }
+    for (int second = 0; second < 120; ++second) {
+        timeline.runFor(seconds(1));
+        sweeper.step();
+    }
+    EXPECT_EQ(store.find(StatesTable, makeJob().id.value()), nullptr);
+}
+
+// Guards against a new owner that starts a job whose submission takes effect after its cancel was acknowledged, before,
+// during or after the takeover.
+TEST(WithdrawalOrders, newOwnerStartsNothingOfAWithdrawnJob)
+{
+    for (const int lateBy : {200, 1000, 1500, 4000}) {
+        EngineHarness harness;
+        harness.addWorkers(3);
+        harness.startOwner();
+        FatedStore late(harness.timeline, harness.store, {{WriteFate::Kind::Late, milliseconds(lateBy)}});
+        const JobIntake::ScheduleAfter scheduleAfter = [&harness](Duration pause, std::function<void()> next) {
+            harness.timeline.after(pause, std::move(next));
+        };
+        JobIntake submitting({}, harness.timeline.clock(), late, scheduleAfter);
+        JobIntake cancelling({}, harness.timeline.clock(), harness.store, scheduleAfter);
+        const JobSpec job = harness.job("5c0e7a21d94b36f8", 1, {stepOf(1, 1, 1)});
+        bool acknowledged = false;
+        submitting.submit(job, harness.timeline.now() + milliseconds(300), [](const CallAnswer &) {});
+        cancelling.cancel(job.id, harness.timeline.now() + seconds(2), [&acknowledged](const CallAnswer &answer) {
+            acknowledged = answer.outcome == CallOutcome::NoSuchJob;
+        });
+        harness.runFor(seconds(1));
+        ASSERT_TRUE(acknowledged);
+        harness.endOwner(true);
+        harness.runFor(milliseconds(500));
+        harness.startOwner();
+        harness.runFor(seconds(8));
+        EXPECT_EQ(harness.workers.starts({job.id, 0, 0, 0}), 0U) << lateBy;
+        EXPECT_EQ(harness.store.find(JobsTable, job.id.value()), nullptr) << lateBy;
+    }
+}
+
 } // namespace
 } // namespace coriander::workflow
