--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,9 +1,9 @@
 // Hands in ten recurring jobs and checks that the system stays within its memory and runs ordinary jobs.
 
-#include "../standin2/Deployment.h"
-
 #include <algorithm>
 
+#include "../standin2/Deployment.h"
+
 using namespace review;
 
 namespace {
@@ -123,7 +123,8 @@
     std::vector<std::string> accepted;
     for (int i = 0; i < OrdinaryJobs; ++i) {
         supervisor.stepFor(1);
-        const Json job = {{"spec", "1500"}, {"steps", {{{"count", 2}, {"cpu", 500}, {"mem_mb", 256}, {"est_ms", 1500}}}}};
+        const Json job
+            = {{"spec", "1500"}, {"steps", {{{"count", 2}, {"cpu", 500}, {"mem_mb", 256}, {"est_ms", 1500}}}}};
         if (deployment.submit(Small, jobId(i), job)) {
             accepted.push_back(jobId(i));
         }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -78,7 +78,7 @@
     if (!accepted.empty()) {
         deployment.state(Standard, accepted.back());
     }
-    deployment.record().write("ordinary jobs accepted: " + std::to_string(accepted.size()) + ", begun: "
-                              + std::to_string(begun) + "; no worker has other work");
+    deployment.record().write("ordinary jobs accepted: " + std::to_string(accepted.size())
+                              + ", begun: " + std::to_string(begun) + "; no worker has other work");
     deployment.finish(accepted.empty() ? CouldNotRun : begun < accepted.size() ? Broken : Held);
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,9 +1,9 @@
 // Fills the pool with work of low priority and checks that a job within its tenant's guarantee begins in time.
 
-#include "../standin2/Deployment.h"
-
 #include <algorithm>
 
+#include "../standin2/Deployment.h"
+
 using namespace review;
 
 namespace {
@@ -64,8 +64,9 @@
     const std::vector<RunSpan> all = deployment.runs();
     const auto stopped = std::count_if(all.begin(), all.end(), [](const RunSpan &run) { return run.how == "stopped"; });
     const double waited = runs.empty() ? WaitSeconds : runs.front().beganAt - acknowledgedAt;
-    deployment.record().write("the guaranteed job " + std::string(runs.empty() ? "has not begun after " : "began after ")
-                              + std::to_string(waited) + " s of " + std::to_string(ReclaimSeconds) + "; runs stopped: "
-                              + std::to_string(stopped));
+    deployment.record().write("the guaranteed job "
+                              + std::string(runs.empty() ? "has not begun after " : "began after ")
+                              + std::to_string(waited) + " s of " + std::to_string(ReclaimSeconds)
+                              + "; runs stopped: " + std::to_string(stopped));
     deployment.finish(waited > ReclaimSeconds ? Broken : Held);
 }
--- a/review/standin2/Deployment.cpp
+++ b/review/standin2/Deployment.cpp
@@ -50,8 +50,9 @@
     std::ofstream(m_settings) << "instance: \"" << m_name << "\"\ndata_centre: \"" << zone << "\"\ncaller_listen: \""
                               << m_callers << "\"\nreadiness_listen: \"" << m_readiness << "\"\nmetrics_listen: \""
                               << loopback(freePort()) << "\"\nrelay_listen: \"" << loopback(freePort())
-                              << "\"\nstore: \"" << store << "\"\nprocessor_share: 0.25\ndescriptors: 4100\nmemory_mb: "
-                              << MemoryMb << "\nlongest_lease_ms: 10000\nstate_keep_s: 120\ngrace_s: 6\n";
+                              << "\"\nstore: \"" << store
+                              << "\"\nprocessor_share: 0.25\ndescriptors: 4100\nmemory_mb: " << MemoryMb
+                              << "\nlongest_lease_ms: 10000\nstate_keep_s: 120\ngrace_s: 6\n";
 }
 
 const std::string &Node::name() const
--- a/review/standin2/Deployment.h
+++ b/review/standin2/Deployment.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Worker.h"
-
 #include <filesystem>
 #include <memory>
 #include <sys/types.h>
 
+#include "Worker.h"
+
 namespace review {
 
 /** Memory of an edge machine, in MB; see the sites' sheets. */
--- a/review/standin2/Store.h
+++ b/review/standin2/Store.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "Http.h"
-
 #include <condition_variable>
 #include <mutex>
 #include <tuple>
 #include <vector>
 
+#include "Http.h"
+
 namespace review {
 
 /** The platform's store, as its page says: rows with one version counter, conditional transactions, feeds. */
--- a/review/standin2/Worker.cpp
+++ b/review/standin2/Worker.cpp
@@ -18,8 +18,7 @@
     , m_store(store)
     , m_record(record)
     , m_bootAt(SteadyClock::now())
-    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
+    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count())
 {
 }
@@ -244,7 +243,8 @@
     }
     Json body = {{"clock_ms", clockMs()}, {"born", m_born}, {"running", Json::array()}, {"ended", Json::array()}};
     for (const auto &[task, run] : m_running) {
-        const std::int64_t percent = run.lasts ? 100 : std::min<std::int64_t>((clockMs() - run.beganAtMs) * 100 / run.workMs, 99);
+        const std::int64_t percent
+            = run.lasts ? 100 : std::min<std::int64_t>((clockMs() - run.beganAtMs) * 100 / run.workMs, 99);
         body["running"].push_back({task, run.number, "", percent, 0});
     }
     for (const End &end : m_ends) {
--- a/review/standin2/Worker.h
+++ b/review/standin2/Worker.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Record.h"
-#include "Store.h"
-
 #include <optional>
 #include <set>
 
+#include "Record.h"
+#include "Store.h"
+
 namespace review {
 
 struct Size {
