--- a/review/standin2/Http.cpp
+++ b/review/standin2/Http.cpp
@@ -4,17 +4,28 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <thread>
+#include <unistd.h>
 
 namespace review {
 
 namespace {
 
+constexpr unsigned short FirstPort = 20000;
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
 using Tcp = asio::ip::tcp;
 
+/** A loopback address of this process, so that tests that run at the same time don't take each other's ports. */
+asio::ip::address_v4 ownAddress()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return asio::ip::address_v4((127U << 24) | ((process / 250 % 250 + 1) << 16) | ((process % 250 + 1) << 8) | 1U);
+}
+
 std::string lowerCase(std::string text)
 {
     for (char &c : text) {
@@ -93,8 +104,7 @@
 void serve(unsigned short port, Handler handler)
 {
     auto loop = std::make_shared<asio::io_context>();
-    const auto acceptor
-        = std::make_shared<Tcp::acceptor>(*loop, Tcp::endpoint(asio::ip::address_v4::loopback(), port), true);
+    const auto acceptor = std::make_shared<Tcp::acceptor>(*loop, Tcp::endpoint(ownAddress(), port), true);
     const auto shared = std::make_shared<Handler>(std::move(handler));
     std::thread([loop, acceptor, shared] {
         while (true) {
@@ -140,7 +150,8 @@
     beast::flat_buffer buffer;
     http::response<http::string_body> message;
     bool received = false;
-    stream.async_connect(Tcp::endpoint(asio::ip::address_v4::loopback(), port), [&](boost::system::error_code code) {
+    const auto ip = asio::ip::make_address_v4(address.substr(0, colon));
+    stream.async_connect(Tcp::endpoint(ip, port), [&](boost::system::error_code code) {
         if (code) {
             return;
         }
@@ -159,14 +170,25 @@
 
 unsigned short freePort()
 {
+    // Below the ports of outgoing connections, and none is given twice.
+    static std::atomic<unsigned short> next = FirstPort;
     asio::io_context loop;
-    Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
+    while (true) {
+        const unsigned short port = next++;
+        boost::system::error_code code;
+        Tcp::acceptor acceptor(loop);
+        acceptor.open(Tcp::v4());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(Tcp::endpoint(ownAddress(), port), code);
+        if (!code) {
+            return port;
+        }
+    }
 }
 
 std::string loopback(unsigned short port)
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return ownAddress().to_string() + ":" + std::to_string(port);
 }
 
 } // namespace review
--- a/review/standin2/Http.h
+++ b/review/standin2/Http.h
@@ -29,7 +29,8 @@
 
 using Handler = std::function<Response(const Request &)>;
 
-/** Serves HTTP/1.1 on 127.0.0.1 with a thread for each connection. The handler runs on these threads and may block. */
+/** Serves HTTP/1.1 on the loopback address of this process with a thread for each connection. The handler runs on these
+ * threads and may block. */
 void serve(unsigned short port, Handler handler);
 
 /** Sends one request on a new connection; status 0 if no complete response arrives in time. */
@@ -40,9 +41,10 @@
               const std::string &body,
               std::chrono::milliseconds limit);
 
-/** A TCP port of 127.0.0.1 that is free now. */
+/** A free TCP port of the loopback address of this process; each call gives another one. */
 unsigned short freePort();
 
+/** The address of a port of this process, `IPv4:port`. */
 std::string loopback(unsigned short port);
 
 } // namespace review
