--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -154,12 +154,15 @@
 
     /** @name Jobs */
     ///@{
-    /** Adds a job with the progress that an earlier owner stored, by occurrence. */
-    void restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress);
-    /** Adds a new job; a job that is already known or ended recently is ignored. */
+    /** Adds a job; a job that is already known or ended recently is ignored. */
     void addJob(JobSpec spec);
-    /** Removes the stored progress of a job that has ended; an earlier owner had not removed all of it. */
-    void removeProgress(const JobId &id, const std::map<std::size_t, OccurrenceRecord> &progress);
+    /** Restores the progress that an earlier owner stored for an occurrence of a job that was added; returns false if
+     * the job is not known. Call for all stored rows before finishRestore(). */
+    bool restoreProgress(const JobId &id, std::size_t occurrence, const OccurrenceRecord &record);
+    /** Restores the states and the runs of all jobs from their progress. Call once, before the first step(). */
+    void finishRestore();
+    /** Removes stored progress of a job that has ended; an earlier owner had not removed all of it. */
+    void removeProgress(const JobId &id, const std::set<std::size_t> &occurrences);
     /** Cancels a job: stops its runs and starts no new ones. An unknown job is ignored. */
     void cancelJob(const JobId &id);
     ///@}
@@ -255,7 +258,9 @@
     void returnToQueue(Job &job);
     void completeIfDone(Job &job);
     void failJob(Job &job, const TaskKey &task);
-    void stopJob(Job &job);
+    void stopJob(const Job &job);
+    /** Adds the run that an earlier owner assigned. */
+    void restoreRun(const Job &job, const TaskKey &key, const Task &task);
     /** Adds the changed rows of a job to the batch; returns false if some did not fit. */
     static bool addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now);
     /** Adds the end of a job to the batch and forgets the job; returns false, without a change, if it did not fit. */
@@ -293,7 +298,7 @@
     /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs other than @p run. */
     void completeTask(Job &job, const TaskKey &key, std::int64_t run);
     void countFailure(Job &job, const TaskKey &key, const WorkerId &worker);
-    void stopGang(Job &job, const TaskKey &key, std::int64_t run);
+    void stopGang(const Job &job, const TaskKey &key, std::int64_t run);
     void stopRun(const WorkerId &worker, const RunKey &key);
     void workerLost(Worker &worker, const char *cause);
     void workerRestarted(Worker &worker, Incarnation incarnation);
@@ -364,9 +369,12 @@
     bool endsPreferences(const Candidate &candidate, MonotonicTime now);
     /** Share of the capacity of a pool that is in use, from 0 to 1, as known at the beginning of the planning pass. */
     double usedShare(const ServiceName &service, bool accelerators);
-    std::vector<std::size_t> waitingTasks(const Candidate &candidate) const;
+    static std::vector<std::size_t> waitingTasks(const Candidate &candidate);
     static StepKey stepKey(const Candidate &candidate);
-    bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const;
+    /** Since when tasks of the candidate's step wait for room; no value if no planning pass has come to the step. */
+    static std::optional<MonotonicTime> waitingSince(const Candidate &candidate);
+    /** Whether a run of one of these tasks has failed. */
+    static bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks);
     /** Reserves workers where a gang will soon fit, so that later candidates of this pass do not use them. */
     static void reserveForGang(const PlacementNeed &need, PlacementBoard &board);
     void place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
@@ -443,8 +451,9 @@
                        const std::vector<MonitoredRun> &runs);
     /** Estimates the speeds of workers from all observations; logs when the pool becomes uneven or even. */
     void updateSpeeds();
-    std::vector<MonitoredRun> monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step);
-    void monitorStep(Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now);
+    /** Precondition: the step is open. */
+    std::vector<MonitoredRun> monitoredRuns(const Job &job, const StepIndex &step);
+    void monitorStep(Job &job, const QueueSpec &queue, const StepIndex &step, MonotonicTime now);
     /** @p reference is the typical progress of the step's runs, in percent per second; 0 if no run progresses. */
     void markWorkerSlow(Worker &worker, const Run &run, double reference, MonotonicTime now);
     /** @p reference as for markWorkerSlow(). */
--- a/include/corianderscale/Workflow/JobSpec.h
+++ b/include/corianderscale/Workflow/JobSpec.h
@@ -24,7 +24,8 @@
     decision::Resources perTask;
     /** The submitter's estimate of the run time of one task; often wrong. */
     Duration estimate{};
-    /** Indices of earlier steps; all their tasks must be done before this step starts. */
+    /** Indices of earlier steps; all their tasks must be done before this step starts. Ascending, each listed once, so
+     * that a step takes no more memory than its job has steps; see distinctSteps(). */
     std::vector<std::size_t> after;
     /** Whether the tasks write checkpoints. */
     bool checkpoints = false;
@@ -62,6 +63,9 @@
     WallTime acceptedAt;
 };
 
+/** The indices in ascending order, each listed once. */
+std::vector<std::size_t> distinctSteps(std::vector<std::size_t> indices);
+
 /** State of a job as shown to its submitter. */
 enum class JobState {
     Queued,
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -84,11 +84,12 @@
     void startTerm(Epoch epoch);
     void endTerm(const std::string &reason);
     void startEvacuationFollower();
+    void startProgressReader();
     void handleProgressRows(const std::vector<Row> &rows);
-    void handleAllJobRows(const std::vector<Row> &rows);
-    /** Lets the engine remove the progress of jobs that have no row any more. */
-    void removeProgressWithoutJob(const std::vector<Row> &jobRows);
-    void handleChangedJobRows(const std::vector<Row> &rows);
+    /** Called when all jobs and their progress are restored. */
+    void finishRestore();
+    void startWorkersFollower();
+    void handleJobRows(const std::vector<Row> &rows);
     void addJobFromRow(const Row &row);
     void handleAllWorkerRows(const std::vector<Row> &rows);
     void handleChangedWorkerRows(const std::vector<Row> &rows);
@@ -109,7 +110,11 @@
     boost::asio::steady_timer m_timer;
     TermChain m_chain;
     std::shared_ptr<const Catalogue> m_catalogue;
-    std::map<JobId, std::map<std::size_t, OccurrenceRecord>> m_progress;
+    /** While the state is restored: progress of jobs that have no row, jobs whose row can't be read, and jobs whose
+     * cancel was requested. */
+    std::map<JobId, std::set<std::size_t>> m_leftoverProgress;
+    std::set<JobId> m_unreadableJobs;
+    std::set<JobId> m_cancelsWhileRestoring;
     std::optional<TableFollower> m_progressReader;
     std::optional<TableFollower> m_jobsFollower;
     std::optional<TableFollower> m_workersFollower;
--- a/include/corianderscale/Workflow/Records.h
+++ b/include/corianderscale/Workflow/Records.h
@@ -4,7 +4,9 @@
 #include "corianderscale/Workflow/JobSpec.h"
 #include "corianderscale/Workflow/WorkerMessages.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,10 +89,22 @@
     std::string checkpoint;
 };
 
+/** The stored tasks of one step of an occurrence. */
+struct StepRecord {
+    /** Whether all tasks are done; then the other fields are empty. */
+    bool done = false;
+    /** Number of tasks; 0 if none was ever assigned, or all are done. */
+    std::size_t count = 0;
+    /** The tasks that were assigned at some time and are not done, by index. */
+    std::map<std::size_t, TaskRecord> tasks;
+    /** The tasks that are done, in ascending order. */
+    std::vector<std::size_t> doneTasks;
+};
+
 /** The stored tasks of one occurrence. */
 struct OccurrenceRecord {
-    /** By step and index. */
-    std::vector<std::vector<TaskRecord>> steps;
+    /** By step. */
+    std::vector<StepRecord> steps;
     /** Whether the job has failed and its runs are only waited for. */
     bool jobFailed = false;
 };
--- a/include/corianderscale/Workflow/TableFollower.h
+++ b/include/corianderscale/Workflow/TableFollower.h
@@ -41,7 +41,7 @@
     };
 
     struct Hooks {
-        /** All rows of the table. */
+        /** All rows of the table, or no rows if @c page is set. */
         std::function<void(const std::vector<Row> &)> snapshot;
         /** Changed and removed rows, oldest change first. */
         std::function<void(const std::vector<Row> &)> changed;
@@ -52,6 +52,10 @@
         /** Called when a snapshot begins and when a call for changes is sent. Everything that had changed by then is
          * reported before the next call of @c caughtUp. May be empty. */
         std::function<void()> asking;
+        /** Called with the rows of each page of a snapshot, which are then not collected, so that neither the memory
+         * nor the time of one call grows with the table. A snapshot that fails begins again with its first page. May be
+         * empty. */
+        std::function<void(const std::vector<Row> &)> page;
     };
 
     TableFollower(boost::asio::io_context &loop, RowStore &store, Settings settings, Hooks hooks);
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -23,8 +23,8 @@
     if (value.size() <= limit) {
         return value;
     }
-    for (std::vector<TaskRecord> &step : record.steps) {
-        for (TaskRecord &task : step) {
+    for (StepRecord &step : record.steps) {
+        for (auto &[index, task] : step.tasks) {
             task.checkpoint.clear();
         }
     }
@@ -98,87 +98,93 @@
     if (!most || isFinal(job.state)) {
         return;
     }
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            const std::vector<Task> &tasks = job.occurrences[k].steps[s];
-            const auto spent = std::find_if(tasks.begin(), tasks.end(), [&most](const Task &task) {
-                return task.phase == TaskPhase::Waiting && task.failures >= *most;
-            });
-            if (!job.spec.steps[s].longRunning && spent != tasks.end()) {
-                const TaskKey key{job.spec.id, k, s, static_cast<std::size_t>(spent - tasks.begin())};
-                markDirty(key);
-                failJob(job, key);
-                return;
-            }
+    for (const auto &[index, tasks] : job.openSteps()) {
+        if (job.spec.steps[index.step].longRunning) {
+            continue;
+        }
+        const auto spent = std::find_if(tasks.states().begin(), tasks.states().end(), [&most](const auto &each) {
+            return each.second.phase == TaskPhase::Waiting && each.second.failures >= *most;
+        });
+        if (spent != tasks.states().end()) {
+            const TaskKey key{job.spec.id, index.occurrence, index.step, spent->first};
+            markDirty(key);
+            failJob(job, key);
+            return;
         }
     }
 }
 
-void JobEngine::restoreJob(JobSpec spec, const std::map<std::size_t, OccurrenceRecord> &progress)
+bool JobEngine::restoreProgress(const JobId &id, std::size_t occurrence, const OccurrenceRecord &record)
 {
-    const JobId id = spec.id;
-    const MonotonicTime now = m_clock.now();
-    const auto [entry, added] = m_jobs.emplace(id, makeJob(std::move(spec), now));
-    if (!added) {
-        return;
+    Job *job = findJob(id);
+    if (job == nullptr) {
+        return false;
     }
-    Job &job = entry->second;
-    for (const auto &[occurrence, record] : progress) {
-        if (!restoreOccurrence(job, occurrence, record)) {
-            logEvent(LogLevel::Error,
-                     "progress-ignored",
-                     {{"job", id},
-                      {"occurrence", occurrence},
-                      {"reason", "the numbers of steps and tasks do not match the job"}});
-        }
+    if (!job->restore(occurrence, record)) {
+        logEvent(LogLevel::Error,
+                 "progress-ignored",
+                 {{"job", id},
+                  {"occurrence", occurrence},
+                  {"reason", "the numbers of steps and tasks do not match the job"}});
     }
-    if (!isFinal(job.state)) {
-        job.state = job.started ? JobState::Running : JobState::Queued;
-    }
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            for (std::size_t i = 0; i < job.occurrences[k].steps[s].size(); ++i) {
-                const Task &task = job.occurrences[k].steps[s][i];
-                if (task.phase != TaskPhase::Assigned) {
-                    continue;
-                }
-                Worker &worker = m_workers.all()[task.worker];
-                if (worker.report.id.empty()) {
-                    worker.report.id = task.worker;
-                    worker.report.incarnation = task.incarnation;
-                    worker.earlierLeasesEndAt
-                        = m_startedAt + m_times.leaseGrantWindow + m_times.lease + m_times.leaseMargin;
+    return true;
+}
+
+void JobEngine::finishRestore()
+{
+    for (auto &[id, job] : m_jobs) {
+        const std::size_t occurrences = job.storedCount();
+        if (occurrences == 0) {
+            continue;
+        }
+        if (!isFinal(job.state)) {
+            job.state = job.started ? JobState::Running : JobState::Queued;
+        }
+        for (const auto &[index, tasks] : job.openSteps()) {
+            for (const auto &[i, task] : tasks.states()) {
+                if (task.phase == TaskPhase::Assigned) {
+                    restoreRun(job, {id, index.occurrence, index.step, i}, task);
                 }
-                Run run;
-                run.task = {id, k, s, i};
-                run.number = task.run;
-                run.resources = job.spec.steps[s].perTask;
-                run.start = StartState::Unclear;
-                run.startCallEndedAt = now;
-                run.earlierTerm = true;
-                m_workers.addRun(worker, run);
             }
         }
-    }
-    logEvent(LogLevel::Info,
-             "job-restored",
-             {{"job", id}, {"state", jobStateName(job.state)}, {"epoch", m_epoch}, {"occurrences", progress.size()}});
-    completeIfDone(job);
-    failIfOutOfAttempts(job);
-    if (isFinal(job.state)) {
-        stopJob(job);
-        m_dirtyJobs.insert(id);
+        logEvent(LogLevel::Info,
+                 "job-restored",
+                 {{"job", id}, {"state", jobStateName(job.state)}, {"epoch", m_epoch}, {"occurrences", occurrences}});
+        completeIfDone(job);
+        failIfOutOfAttempts(job);
+        if (isFinal(job.state)) {
+            stopJob(job);
+            m_dirtyJobs.insert(id);
+        }
     }
     m_planWanted = true;
 }
 
+void JobEngine::restoreRun(const Job &job, const TaskKey &key, const Task &task)
+{
+    Worker &worker = m_workers.all()[task.worker];
+    if (worker.report.id.empty()) {
+        worker.report.id = task.worker;
+        worker.report.incarnation = task.incarnation;
+        worker.earlierLeasesEndAt = m_startedAt + m_times.leaseGrantWindow + m_times.lease + m_times.leaseMargin;
+    }
+    Run run;
+    run.task = key;
+    run.number = task.run;
+    run.resources = job.step(key).perTask;
+    run.start = StartState::Unclear;
+    run.startCallEndedAt = m_clock.now();
+    run.earlierTerm = true;
+    m_workers.addRun(worker, run);
+}
+
 void JobEngine::addJob(JobSpec spec)
 {
     const JobId id = spec.id;
     if (m_endedJobs.count(id) > 0) {
         return;
     }
-    const auto [entry, added] = m_jobs.emplace(id, makeJob(std::move(spec), m_clock.now()));
+    const auto [entry, added] = m_jobs.try_emplace(id, std::move(spec), m_clock.now());
     if (!added) {
         return;
     }
@@ -211,7 +217,7 @@
     if (job == nullptr) {
         return;
     }
-    job->occurrences[key.occurrence].dirty = true;
+    job->dirtyOccurrences.insert(key.occurrence);
     m_dirtyJobs.insert(key.job);
 }
 
@@ -235,7 +241,7 @@
 
 void JobEngine::returnToQueue(Job &job)
 {
-    if (job.begun || isFinal(job.state) || job.anyAssigned()) {
+    if (job.begun || isFinal(job.state) || job.assignedCount() > 0) {
         return;
     }
     job.startGivenUp = true;
@@ -245,16 +251,9 @@
 
 void JobEngine::completeIfDone(Job &job)
 {
-    if (isFinal(job.state)) {
+    if (isFinal(job.state) || !job.allDone()) {
         return;
     }
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            if (!job.stepDone(k, s)) {
-                return;
-            }
-        }
-    }
     markState(job, JobState::Completed);
     logEvent(LogLevel::Info,
              "job-completed",
@@ -273,20 +272,17 @@
              "job-failed",
              {{"job", job.spec.id},
               {"task", toString(task)},
-              {"failures", job.task(task).failures},
+              {"failures", job.taskState(task).failures},
               {"most_attempts", maximumAttempts(job).value_or(0)}});
     stopJob(job);
 }
 
-void JobEngine::stopJob(Job &job)
+void JobEngine::stopJob(const Job &job)
 {
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            for (std::size_t i = 0; i < job.occurrences[k].steps[s].size(); ++i) {
-                const Task &task = job.occurrences[k].steps[s][i];
-                if (task.phase == TaskPhase::Assigned) {
-                    stopRun(task.worker, {TaskKey{job.spec.id, k, s, i}, task.run});
-                }
+    for (const auto &[index, tasks] : job.openSteps()) {
+        for (const auto &[i, task] : tasks.states()) {
+            if (task.phase == TaskPhase::Assigned) {
+                stopRun(task.worker, {TaskKey{job.spec.id, index.occurrence, index.step, i}, task.run});
             }
         }
     }
@@ -310,20 +306,19 @@
         }
         job.stateDirty = false;
     }
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        Occurrence &occurrence = job.occurrences[k];
-        if (!occurrence.dirty) {
-            continue;
-        }
+    while (!job.dirtyOccurrences.empty()) {
+        const std::size_t k = *job.dirtyOccurrences.begin();
         std::string value = encodeOccurrenceWithin(limits.rowBytes, job.record(k), id);
         if (!batch.hasRoom(limits, 1, value.size())) {
             return false;
         }
         batch.write({ProgressTable, progressKey(id, k), std::move(value), {}, false});
-        batch.starts.insert(batch.starts.end(), occurrence.pendingStarts.begin(), occurrence.pendingStarts.end());
-        occurrence.pendingStarts.clear();
-        occurrence.dirty = false;
-        occurrence.stored = true;
+        if (const auto starts = job.pendingStarts.find(k); starts != job.pendingStarts.end()) {
+            batch.starts.insert(batch.starts.end(), starts->second.begin(), starts->second.end());
+            job.pendingStarts.erase(starts);
+        }
+        job.dirtyOccurrences.erase(k);
+        job.markStored(k);
     }
     return true;
 }
@@ -342,10 +337,8 @@
     // Without the row of the job its progress has no effect any more, so that may be removed later.
     batch.removed.push_back({JobsTable, id.value()});
     batch.removed.push_back({JobsTable, cancelKey(id)});
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        if (job.occurrences[k].stored) {
-            m_leftoverProgress.push_back(progressKey(id, k));
-        }
+    for (const std::size_t k : job.storedOccurrences()) {
+        m_leftoverProgress.push_back(progressKey(id, k));
     }
     m_endedJobs[id] = m_clock.now();
     m_advice.forget(id);
@@ -353,10 +346,11 @@
     return true;
 }
 
-void JobEngine::removeProgress(const JobId &id, const std::map<std::size_t, OccurrenceRecord> &progress)
+void JobEngine::removeProgress(const JobId &id, const std::set<std::size_t> &occurrences)
 {
-    logEvent(LogLevel::Info, "progress-left-over", {{"job", id}, {"occurrences", progress.size()}, {"epoch", m_epoch}});
-    for (const auto &[occurrence, record] : progress) {
+    logEvent(
+        LogLevel::Info, "progress-left-over", {{"job", id}, {"occurrences", occurrences.size()}, {"epoch", m_epoch}});
+    for (const std::size_t occurrence : occurrences) {
         m_leftoverProgress.push_back(progressKey(id, occurrence));
     }
 }
@@ -384,7 +378,7 @@
     while (!m_dirtyJobs.empty()) {
         const JobId id = *m_dirtyJobs.begin();
         if (Job *job = findJob(id)) {
-            const bool over = isFinal(job->state) && !job->anyAssigned();
+            const bool over = isFinal(job->state) && job->assignedCount() == 0;
             const bool added = over ? addEndOf(*job, limits, batch) : addRowsOf(*job, limits, batch, m_clock.wallNow());
             if (!added) {
                 return batch;
--- a/lib/Workflow/JobEngineMonitor.cpp
+++ b/lib/Workflow/JobEngineMonitor.cpp
@@ -58,9 +58,9 @@
         if (isFinal(job.state) || queue == nullptr) {
             continue;
         }
-        for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-            for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-                monitorStep(job, *queue, k, s, now);
+        for (const auto &[index, tasks] : job.openSteps()) {
+            if (tasks.assigned() > 0) {
+                monitorStep(job, *queue, index, now);
             }
         }
     }
@@ -110,16 +110,15 @@
         id, gang ? decision::TaskLikeness::Same : decision::TaskLikeness::Similar, rates);
 }
 
-std::vector<JobEngine::MonitoredRun> JobEngine::monitoredRuns(const Job &job, std::size_t occurrence, std::size_t step)
+std::vector<JobEngine::MonitoredRun> JobEngine::monitoredRuns(const Job &job, const StepIndex &step)
 {
     std::vector<MonitoredRun> monitored;
-    const std::vector<Task> &tasks = job.occurrences[occurrence].steps[step];
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].phase != TaskPhase::Assigned) {
+    for (const auto &[i, task] : job.openStep(step)->states()) {
+        if (task.phase != TaskPhase::Assigned) {
             continue;
         }
-        Worker *worker = m_workers.find(tasks[i].worker);
-        const RunKey key{{job.spec.id, occurrence, step, i}, tasks[i].run};
+        Worker *worker = m_workers.find(task.worker);
+        const RunKey key{{job.spec.id, step.occurrence, step.step, i}, task.run};
         const auto run = worker == nullptr ? decltype(worker->runs.end()){} : worker->runs.find(key);
         if (worker != nullptr && run != worker->runs.end() && run->second.seenRunning && worker->silentCalls == 0) {
             monitored.push_back({worker, &run->second});
@@ -128,17 +127,16 @@
     return monitored;
 }
 
-void JobEngine::monitorStep(
-    Job &job, const QueueSpec &queue, std::size_t occurrence, std::size_t step, MonotonicTime now)
+void JobEngine::monitorStep(Job &job, const QueueSpec &queue, const StepIndex &step, MonotonicTime now)
 {
-    const std::vector<MonitoredRun> runs = monitoredRuns(job, occurrence, step);
-    observeSpeeds(job, queue, {job.spec.id, occurrence, step}, runs);
+    const std::vector<MonitoredRun> runs = monitoredRuns(job, step);
+    observeSpeeds(job, queue, {job.spec.id, step.occurrence, step.step}, runs);
     std::vector<double> rates;
     for (const MonitoredRun &monitored : runs) {
         rates.push_back(monitored.run->rate.value_or(0));
     }
     const double reference = referenceRate(std::move(rates));
-    const bool gang = job.spec.steps[step].gang;
+    const bool gang = job.spec.steps[step.step].gang;
     for (const MonitoredRun &monitored : runs) {
         const Run &run = *monitored.run;
         if (run.percent >= FullPercent || run.stopWanted) {
@@ -177,8 +175,8 @@
     const Job &job, const QueueSpec &queue, const Run &run, double reference, bool stalled, MonotonicTime now) const
 {
     const StepSpec &step = job.step(run.task);
-    const Task &task = job.occurrences[run.task.occurrence].steps[run.task.step][run.task.index];
-    if (task.moves >= MaximumMovesPerTask || step.longRunning) {
+    const Task *task = job.task(run.task);
+    if (task == nullptr || task->moves >= MaximumMovesPerTask || step.longRunning) {
         return false;
     }
     const double estimated = std::chrono::duration_cast<Seconds>(step.estimate).count();
@@ -186,7 +184,7 @@
     const double remainingShare = (FullPercent - run.percent) / FullPercent;
     const double secondsIfKept = stalled ? remainingShare * totalSeconds + ExpectedStallSeconds
                                          : (FullPercent - run.percent) / run.rate.value_or(1);
-    const double checkpointShare = task.checkpoint.empty() ? 0 : task.checkpointPercent / FullPercent;
+    const double checkpointShare = task->checkpoint.empty() ? 0 : task->checkpointPercent / FullPercent;
     const double secondsIfMoved = (1 - checkpointShare) * totalSeconds + ExpectedMoveSeconds;
     const auto chain = std::chrono::duration_cast<Duration>(Seconds(totalSeconds));
     const MonotonicTime objective = objectiveOf(job, queue, run.task.occurrence, chain);
@@ -200,7 +198,7 @@
 {
     const TaskKey key = run.task;
     const std::int64_t number = run.number;
-    Task &task = job.task(key);
+    Task &task = job.taskState(key);
     ++task.moves;
     ++m_counts.moved;
     logEvent(LogLevel::Info,
@@ -209,7 +207,7 @@
     task.failedOn.insert(task.worker);
     stopRun(task.worker, {key, number});
     if (job.step(key).gang) {
-        for (Task &member : job.occurrences[key.occurrence].steps[key.step]) {
+        for (auto &[index, member] : job.openStep({key.occurrence, key.step})->states()) {
             member.moves = task.moves;
         }
         stopGang(job, key, number);
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -128,7 +128,9 @@
     order.run = run.number;
     order.payload = job->spec.payload;
     order.leaseUntil = *lease;
-    order.checkpoint = job->task(run.task).checkpoint;
+    if (const Task *task = job->task(run.task)) {
+        order.checkpoint = task->checkpoint;
+    }
     order.ticket = m_advice.ticket({run.task.job, run.task.occurrence, run.task.step}, worker);
     run.start = StartState::Sent;
     ++m_counts.startsSent;
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -40,6 +40,23 @@
     return job.firstDue + job.interval * static_cast<std::int64_t>(occurrence) + DueTimeMargin;
 }
 
+/** Number of occurrences that are due; they are the first ones. */
+std::size_t dueOccurrences(const Job &job, WallTime now)
+{
+    const JobSpec &spec = job.spec;
+    if (spec.occurrences == 0) {
+        return 1;
+    }
+    const Duration sinceFirst = now - dueTime(spec, 0);
+    if (sinceFirst < Duration(0)) {
+        return 0;
+    }
+    if (spec.interval <= Duration(0)) {
+        return spec.occurrences;
+    }
+    return std::min(spec.occurrences, static_cast<std::size_t>(sinceFirst / spec.interval) + 1);
+}
+
 /** Share of the accelerators of the workers on the board that runs use, from 0 to 1. */
 double usedAcceleratorShare(const PlacementBoard &board)
 {
@@ -140,10 +157,9 @@
     if (speeds == nullptr || candidate.queue->priority != 0 || !step.gang || step.longRunning) {
         return 0;
     }
-    const std::optional<MonotonicTime> since
-        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const std::optional<MonotonicTime> since = waitingSince(candidate);
     Duration waited = since ? now - *since : Duration(0);
-    if (!candidate.job->anyAssigned() && candidate.step == 0) {
+    if (candidate.job->assignedCount() == 0 && candidate.step == 0) {
         waited = std::max(waited, now - candidate.since);
     }
     return decision::speedNeeded({step.estimate, candidate.objective - now, waited, speeds->highestCommonSpeed()});
@@ -219,15 +235,13 @@
 void JobEngine::addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into)
 {
     const Duration chain = longestChainEstimate(job.spec);
-    const WallTime wallNow = m_clock.wallNow();
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-        if (job.spec.occurrences > 0 && wallNow < dueTime(job.spec, k)) {
-            break;
-        }
-        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            if (job.stepDone(k, s) || !job.stepReady(k, s)) {
-                continue;
-            }
+    const std::size_t due = dueOccurrences(job, m_clock.wallNow());
+    if (due == 0) {
+        return;
+    }
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+        const boost::dynamic_bitset<> waiting = job.waitingOccurrences(s, due);
+        for (std::size_t k = waiting.find_first(); k != boost::dynamic_bitset<>::npos; k = waiting.find_next(k)) {
             Candidate candidate;
             candidate.job = &job;
             candidate.occurrence = k;
@@ -236,28 +250,22 @@
             candidate.since = countedSince(job, k);
             candidate.objective = objectiveOf(job, queue, k, chain);
             candidate.late = now + job.spec.steps[s].estimate > candidate.objective;
-            std::optional<MonotonicTime> &waitingSince = job.occurrences[k].waitingSince[s];
-            if (!waitingSince && !waitingTasks(candidate).empty()) {
-                waitingSince = now;
-            }
+            job.waitingSince.try_emplace({k, s}, now);
             into.push_back(candidate);
         }
     }
 }
 
-std::vector<std::size_t> JobEngine::waitingTasks(const Candidate &candidate) const
+std::optional<MonotonicTime> JobEngine::waitingSince(const Candidate &candidate)
 {
-    const std::vector<Task> &tasks = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
-    const bool gang = candidate.job->spec.steps[candidate.step].gang;
-    std::vector<std::size_t> waiting;
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].phase == TaskPhase::Waiting) {
-            waiting.push_back(i);
-        } else if (gang) {
-            return {};
-        }
-    }
-    return waiting;
+    const auto found = candidate.job->waitingSince.find({candidate.occurrence, candidate.step});
+    return found == candidate.job->waitingSince.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<std::size_t> JobEngine::waitingTasks(const Candidate &candidate)
+{
+    return candidate.job->waitingTasks({candidate.occurrence, candidate.step},
+                                       candidate.job->spec.steps[candidate.step].tasks);
 }
 
 double JobEngine::usedShare(const ServiceName &service, bool accelerators)
@@ -282,12 +290,11 @@
 
 bool JobEngine::endsPreferences(const Candidate &candidate, MonotonicTime now)
 {
-    const std::optional<MonotonicTime> since
-        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const std::optional<MonotonicTime> since = waitingSince(candidate);
     const bool accelerators = candidate.job->spec.steps[candidate.step].perTask.accelerators.count() > 0;
     return since
         && decision::endsPreferences(
-               {now - *since, candidate.job->anyAssigned(), usedShare(candidate.queue->service, accelerators)});
+               {now - *since, candidate.job->assignedCount() > 0, usedShare(candidate.queue->service, accelerators)});
 }
 
 PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now)
@@ -314,9 +321,10 @@
     if (need.maximumPerWorker > 0) {
         need.placedTasks = m_workers.countRuns(stepKey(candidate));
     }
-    const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
-    for (const Task &task : all) {
-        need.avoid.insert(task.failedOn.begin(), task.failedOn.end());
+    if (const StepTasks *all = candidate.job->openStep({candidate.occurrence, candidate.step})) {
+        for (const auto &[index, task] : all->states()) {
+            need.avoid.insert(task.failedOn.begin(), task.failedOn.end());
+        }
     }
     return need;
 }
@@ -344,10 +352,13 @@
     return {candidate.job->spec.id, candidate.occurrence, candidate.step};
 }
 
-bool JobEngine::hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks) const
+bool JobEngine::hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks)
 {
-    const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
-    return std::any_of(tasks.begin(), tasks.end(), [&all](std::size_t index) { return all[index].failures > 0; });
+    const StepTasks *all = candidate.job->openStep({candidate.occurrence, candidate.step});
+    return all != nullptr && std::any_of(tasks.begin(), tasks.end(), [all](std::size_t index) {
+               const Task *task = all->find(index);
+               return task != nullptr && task->failures > 0;
+           });
 }
 
 std::vector<std::size_t> JobEngine::findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board)
@@ -407,9 +418,10 @@
                                      PlacementBoard &board,
                                      MonotonicTime now)
 {
-    const std::vector<Task> &all = candidate.job->occurrences[candidate.occurrence].steps[candidate.step];
-    const auto waits = [this, &all, &candidate, now](std::size_t index) {
-        return waitsForProof(*candidate.job, all[index], now);
+    const auto waits = [this, &candidate, now](std::size_t index) {
+        const TaskKey key{candidate.job->spec.id, candidate.occurrence, candidate.step, index};
+        const Task *task = candidate.job->task(key);
+        return task != nullptr && waitsForProof(*candidate.job, *task, now);
     };
     std::stable_partition(tasks.begin(), tasks.end(), waits);
     PlacementNeed need = needOf(candidate, tasks, now);
@@ -475,8 +487,7 @@
         reserveForGang(need, board);
     }
     const bool urgent = candidate.queue->priority == 0 && gang;
-    const std::optional<MonotonicTime> since
-        = candidate.job->occurrences[candidate.occurrence].waitingSince[candidate.step];
+    const std::optional<MonotonicTime> since = waitingSince(candidate);
     const bool lastingWaits
         = candidate.job->spec.steps[candidate.step].longRunning && since && now - *since > m_times.lastingWait;
     if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent || lastingWaits)) {
@@ -499,24 +510,25 @@
 {
     Job &job = *candidate.job;
     const StepSpec &step = job.spec.steps[candidate.step];
-    Occurrence &occurrence = job.occurrences[candidate.occurrence];
-    std::vector<Task> &all = occurrence.steps[candidate.step];
-    std::int64_t gangRun = 0;
+    std::int64_t gangRun = 1;
     // The checkpoint of any member is valid for the whole gang, so all members resume from the most advanced one.
     const Task *furthest = nullptr;
-    for (const Task &task : all) {
-        gangRun = std::max(gangRun, task.run + 1);
-        if (!task.checkpoint.empty() && (furthest == nullptr || task.checkpointPercent > furthest->checkpointPercent)) {
-            furthest = &task;
+    if (const StepTasks *all = job.openStep({candidate.occurrence, candidate.step})) {
+        for (const auto &[index, task] : all->states()) {
+            gangRun = std::max(gangRun, task.run + 1);
+            if (!task.checkpoint.empty()
+                && (furthest == nullptr || task.checkpointPercent > furthest->checkpointPercent)) {
+                furthest = &task;
+            }
         }
     }
     const std::string gangCheckpoint = furthest == nullptr ? std::string() : furthest->checkpoint;
     const int gangPercent = furthest == nullptr ? 0 : furthest->checkpointPercent;
     for (std::size_t i = 0; i < workers.size(); ++i) {
         Worker &worker = *m_workers.find(workers[i]);
-        Task &task = all[tasks[i]];
+        const TaskKey key{job.spec.id, candidate.occurrence, candidate.step, tasks[i]};
+        Task &task = job.setPhase(key, TaskPhase::Assigned);
         task.run = step.gang ? gangRun : task.run + 1;
-        task.phase = TaskPhase::Assigned;
         task.worker = workers[i];
         task.incarnation = worker.report.incarnation;
         if (step.gang && furthest != nullptr) {
@@ -524,18 +536,18 @@
             task.checkpointPercent = gangPercent;
         }
         Run run;
-        run.task = {job.spec.id, candidate.occurrence, candidate.step, tasks[i]};
+        run.task = key;
         run.number = task.run;
         run.resources = step.perTask;
         if (step.usesIdleCores) {
             run.resources.cores = MilliCores(0);
         }
-        const RunKey key{run.task, run.number};
+        const RunKey runKey{run.task, run.number};
         m_workers.addRun(worker, std::move(run));
-        occurrence.pendingStarts.emplace_back(workers[i], key);
+        job.pendingStarts[candidate.occurrence].emplace_back(workers[i], runKey);
     }
-    occurrence.waitingSince[candidate.step].reset();
-    occurrence.dirty = true;
+    job.waitingSince.erase({candidate.occurrence, candidate.step});
+    job.dirtyOccurrences.insert(candidate.occurrence);
     m_dirtyJobs.insert(job.spec.id);
     job.started = true;
     if (!job.startGivenUp) {
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -48,14 +48,15 @@
     if (job == nullptr) {
         return EndEffect::TaskUnknown;
     }
-    const Task &task = job->task(key.first);
+    const Task *task = job->task(key.first);
     // A run number is used once for each task, so it identifies the run; the stored incarnation may be outdated.
-    if (task.phase == TaskPhase::Assigned && task.run == key.second && task.worker == worker.report.id) {
+    if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == key.second
+        && task->worker == worker.report.id) {
         return EndEffect::Counted;
     }
     // A run is given up because nothing is heard of it; that it was completed overrides this. Other ends do not: the
     // task waits or runs again, and a failure before the lease ended takes no attempt.
-    const bool open = task.phase != TaskPhase::Done && !isFinal(job->state);
+    const bool open = job->phase(key.first) != TaskPhase::Done && !isFinal(job->state);
     const bool completes = kind == EndKind::Done && !job->step(key.first).longRunning;
     return open && completes ? EndEffect::CompletesTask : EndEffect::Ignored;
 }
@@ -93,15 +94,14 @@
 void JobEngine::taskEnded(
     Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker)
 {
-    Task &task = job.task(key);
     const StepSpec &step = job.step(key);
-    const std::int64_t run = task.run;
+    const std::int64_t run = job.taskState(key).run;
     if (kind == EndKind::Done && !step.longRunning) {
         completeTask(job, key, run);
         return;
     }
     markDirty(key);
-    task.phase = TaskPhase::Waiting;
+    Task &task = job.setPhase(key, TaskPhase::Waiting);
     if (!checkpoint.empty()) {
         task.checkpoint = checkpoint;
     }
@@ -116,16 +116,15 @@
 void JobEngine::completeTask(Job &job, const TaskKey &key, std::int64_t run)
 {
     const bool gang = job.step(key).gang;
-    std::vector<Task> &tasks = job.occurrences[key.occurrence].steps[key.step];
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        if (!gang && i != key.index) {
-            continue;
+    const std::size_t begin = gang ? 0 : key.index;
+    const std::size_t end = gang ? job.step(key).tasks : key.index + 1;
+    for (std::size_t i = begin; i < end; ++i) {
+        const TaskKey each{key.job, key.occurrence, key.step, i};
+        const Task *task = job.task(each);
+        if (task != nullptr && task->phase == TaskPhase::Assigned && task->run != run) {
+            stopRun(task->worker, {each, task->run});
         }
-        Task &task = tasks[i];
-        if (task.phase == TaskPhase::Assigned && task.run != run) {
-            stopRun(task.worker, {TaskKey{key.job, key.occurrence, key.step, i}, task.run});
-        }
-        task.phase = TaskPhase::Done;
+        job.setDone(each);
     }
     markDirty(key);
     completeIfDone(job);
@@ -134,11 +133,11 @@
 void JobEngine::countFailure(Job &job, const TaskKey &key, const WorkerId &worker)
 {
     const StepSpec &step = job.step(key);
-    std::vector<Task> &members = job.occurrences[key.occurrence].steps[key.step];
-    Task &task = job.task(key);
+    Task &task = job.taskState(key);
+    std::map<std::size_t, Task> &members = job.openStep({key.occurrence, key.step})->states();
     task.failedOn.insert(worker);
-    for (Task &member : members) {
-        if (step.gang || &member == &task) {
+    for (auto &[index, member] : members) {
+        if (step.gang || index == key.index) {
             member.lastFailureAt = m_clock.now();
         }
     }
@@ -148,7 +147,7 @@
     const int failures = task.failures + 1;
     const std::int64_t run = task.run;
     if (step.gang) {
-        for (Task &member : members) {
+        for (auto &[index, member] : members) {
             member.failures = failures;
             member.lastFailedRun = run;
         }
@@ -162,14 +161,15 @@
     }
 }
 
-void JobEngine::stopGang(Job &job, const TaskKey &key, std::int64_t run)
+void JobEngine::stopGang(const Job &job, const TaskKey &key, std::int64_t run)
 {
-    const std::size_t count = job.occurrences[key.occurrence].steps[key.step].size();
-    for (std::size_t i = 0; i < count; ++i) {
-        const TaskKey memberKey{key.job, key.occurrence, key.step, i};
-        const Task &member = job.task(memberKey);
+    const StepTasks *tasks = job.openStep({key.occurrence, key.step});
+    if (tasks == nullptr) {
+        return;
+    }
+    for (const auto &[i, member] : tasks->states()) {
         if (member.phase == TaskPhase::Assigned && member.run == run) {
-            stopRun(member.worker, {memberKey, run});
+            stopRun(member.worker, {TaskKey{key.job, key.occurrence, key.step, i}, run});
         }
     }
 }
@@ -230,8 +230,9 @@
             run.startCallEndedAt = m_clock.now();
         }
         Job *job = findJobOf(key.first);
-        if (job != nullptr && job->task(key.first).run == key.second) {
-            job->task(key.first).incarnation = incarnation;
+        Task *task = job == nullptr ? nullptr : job->task(key.first);
+        if (task != nullptr && task->run == key.second) {
+            task->incarnation = incarnation;
             markDirty(key.first);
         }
     }
@@ -310,6 +311,7 @@
         ++m_counts.ended[end.kind];
         const EndEffect effect = effectOf(worker, {end.task, end.run}, end.kind);
         const Job *ofJob = findJobOf(end.task);
+        const Task *task = ofJob == nullptr ? nullptr : ofJob->task(end.task);
         logEvent(LogLevel::Info,
                  "run-ended",
                  {{"task", toString(end.task)},
@@ -318,7 +320,7 @@
                   {"kind", endKindName(end.kind)},
                   {"end", end.number},
                   {"effect", endEffectName(effect)},
-                  {"latest_run", ofJob == nullptr ? 0 : ofJob->task(end.task).run}});
+                  {"latest_run", task == nullptr ? 0 : task->run}});
         if (effect == EndEffect::CompletesTask) {
             ++m_counts.completedAfterGivenUp;
         }
@@ -378,11 +380,8 @@
 void JobEngine::raiseRunNumber(const TaskKey &key, std::int64_t run)
 {
     Job *job = findJobOf(key);
-    if (job == nullptr) {
-        return;
-    }
-    Task &task = job->task(key);
-    if (task.phase == TaskPhase::Waiting) {
+    if (job != nullptr && job->phase(key) == TaskPhase::Waiting) {
+        Task &task = job->taskState(key);
         task.run = std::max(task.run, run);
     }
 }
@@ -437,9 +436,10 @@
         }
         run.start = StartState::Accepted;
         Job *job = findJobOf(each.task);
-        if (job != nullptr && !each.checkpoint.empty() && job->task(each.task).run == each.run) {
-            job->task(each.task).checkpoint = each.checkpoint;
-            job->task(each.task).checkpointPercent = each.percent;
+        Task *task = job == nullptr ? nullptr : job->task(each.task);
+        if (task != nullptr && !each.checkpoint.empty() && task->run == each.run) {
+            task->checkpoint = each.checkpoint;
+            task->checkpointPercent = each.percent;
         }
     }
 }
--- a/lib/Workflow/JobSpec.cpp
+++ b/lib/Workflow/JobSpec.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace coriander::workflow {
@@ -34,6 +35,14 @@
     throw std::out_of_range("unknown job state " + name);
 }
 
+std::vector<std::size_t> distinctSteps(std::vector<std::size_t> indices)
+{
+    std::sort(indices.begin(), indices.end());
+    indices.erase(std::unique(indices.begin(), indices.end()), indices.end());
+    indices.shrink_to_fit();
+    return indices;
+}
+
 std::string toString(const TaskKey &key)
 {
     return fmt::format("{}.{}.{}.{}", key.job.value(), key.occurrence, key.step, key.index);
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -6,6 +6,7 @@
 
 #include <charconv>
 #include <set>
+#include <utility>
 
 namespace coriander::workflow {
 
@@ -133,18 +134,24 @@
     m_engine->setCatalogue(m_catalogue);
     m_engine->setAdvisor(m_advisor);
     m_restored = false;
-    m_progress.clear();
+    m_leftoverProgress.clear();
+    m_unreadableJobs.clear();
+    m_cancelsWhileRestoring.clear();
     m_isolatedSince = NeverDue;
     m_stateSweeper.emplace(m_times.sweeper, m_clock, m_store);
-    TableFollower::Settings progress;
-    progress.table = ProgressTable;
-    m_progressReader.emplace(m_loop,
-                             m_store,
-                             progress,
-                             TableFollower::Hooks{[this](const std::vector<Row> &rows) { handleProgressRows(rows); },
-                                                  [](const std::vector<Row> &) {},
-                                                  {}});
-    m_progressReader->start();
+    m_progressReader.reset();
+    TableFollower::Settings jobs;
+    jobs.table = JobsTable;
+    TableFollower::Hooks hooks;
+    hooks.page = [this](const std::vector<Row> &rows) {
+        handleJobRows(rows);
+    };
+    hooks.snapshot = [this](const std::vector<Row> &) {
+        startProgressReader();
+    };
+    hooks.changed = hooks.page;
+    m_jobsFollower.emplace(m_loop, m_store, jobs, hooks);
+    m_jobsFollower->start();
     startEvacuationFollower();
 }
 
@@ -173,9 +180,29 @@
     m_evacuationFollower->start();
 }
 
+void OwnerController::startProgressReader()
+{
+    if (!m_engine || m_restored || m_progressReader) {
+        return;
+    }
+    TableFollower::Settings progress;
+    progress.table = ProgressTable;
+    TableFollower::Hooks hooks;
+    hooks.page = [this](const std::vector<Row> &rows) {
+        handleProgressRows(rows);
+    };
+    hooks.snapshot = [this](const std::vector<Row> &) {
+        finishRestore();
+    };
+    hooks.changed = [](const std::vector<Row> &) {
+    };
+    m_progressReader.emplace(m_loop, m_store, progress, hooks);
+    m_progressReader->start();
+}
+
 void OwnerController::handleProgressRows(const std::vector<Row> &rows)
 {
-    if (!m_engine) {
+    if (!m_engine || m_restored) {
         return;
     }
     for (const Row &row : rows) {
@@ -186,53 +213,37 @@
             logIgnoredRow(row, key ? error.reason : "expected a key of the form JOB.OCCURRENCE");
             continue;
         }
-        m_progress[key->first][key->second] = *record;
+        const bool known = m_engine->restoreProgress(key->first, key->second, *record);
+        if (!known && m_unreadableJobs.count(key->first) == 0) {
+            m_leftoverProgress[key->first].insert(key->second);
+        }
     }
-    TableFollower::Settings jobs;
-    jobs.table = JobsTable;
-    m_jobsFollower.emplace(
-        m_loop,
-        m_store,
-        jobs,
-        TableFollower::Hooks{[this](const std::vector<Row> &all) { handleAllJobRows(all); },
-                             [this](const std::vector<Row> &changed) { handleChangedJobRows(changed); },
-                             {}});
-    m_jobsFollower->start();
-    // The reader is calling this function, so it is destroyed later.
-    boost::asio::post(m_loop, [this] { m_progressReader.reset(); });
 }
 
-void OwnerController::addJobFromRow(const Row &row)
+void OwnerController::finishRestore()
 {
-    ProtocolError error;
-    std::optional<JobSpec> job = decodeJob(row.value, error);
-    if (!job) {
-        logIgnoredRow(row, error.reason);
-        return;
-    }
-    const auto progress = m_progress.find(job->id);
-    if (!m_restored && progress != m_progress.end()) {
-        m_engine->restoreJob(std::move(*job), progress->second);
+    if (!m_engine || m_restored) {
         return;
     }
-    m_engine->addJob(std::move(*job));
-}
-
-void OwnerController::handleAllJobRows(const std::vector<Row> &rows)
-{
-    if (!m_engine) {
-        return;
+    m_engine->finishRestore();
+    for (const auto &[id, occurrences] : std::exchange(m_leftoverProgress, {})) {
+        m_engine->removeProgress(id, occurrences);
     }
-    handleChangedJobRows(rows);
-    if (m_restored || !m_engine) {
-        return;
+    for (const JobId &id : std::exchange(m_cancelsWhileRestoring, {})) {
+        m_engine->cancelJob(id);
     }
+    m_unreadableJobs.clear();
     m_restored = true;
-    removeProgressWithoutJob(rows);
-    m_progress.clear();
     logEvent(LogLevel::Info,
              "state-restored",
              {{"epoch", m_chain.owned().value_or(Epoch())}, {"jobs", m_engine->jobCount()}});
+    startWorkersFollower();
+    // The reader is calling this function, so it is destroyed later.
+    boost::asio::post(m_loop, [this] { m_progressReader.reset(); });
+}
+
+void OwnerController::startWorkersFollower()
+{
     TableFollower::Settings workers;
     workers.table = m_discovery.table;
     // A call does not wait for changes; the calls are spaced by the discovery interval.
@@ -255,20 +266,21 @@
     m_workersFollower->start();
 }
 
-void OwnerController::removeProgressWithoutJob(const std::vector<Row> &jobRows)
+void OwnerController::addJobFromRow(const Row &row)
 {
-    std::set<JobId> open;
-    for (const Row &row : jobRows) {
-        open.insert(JobId(row.key));
+    ProtocolError error;
+    std::optional<JobSpec> job = decodeJob(row.value, error);
+    if (job) {
+        m_engine->addJob(std::move(*job));
+        return;
     }
-    for (const auto &[id, progress] : m_progress) {
-        if (open.count(id) == 0) {
-            m_engine->removeProgress(id, progress);
-        }
+    logIgnoredRow(row, error.reason);
+    if (!m_restored) {
+        m_unreadableJobs.insert(JobId(row.key));
     }
 }
 
-void OwnerController::handleChangedJobRows(const std::vector<Row> &rows)
+void OwnerController::handleJobRows(const std::vector<Row> &rows)
 {
     if (!m_engine) {
         return;
@@ -280,11 +292,19 @@
     }
     for (const Row &row : rows) {
         const std::optional<JobId> cancelled = cancelledJob(row.key);
-        if (!row.removed && cancelled) {
+        if (row.removed || !cancelled) {
+            continue;
+        }
+        if (m_restored) {
             m_engine->cancelJob(*cancelled);
+        } else {
+            // The runs of the job, which have to be stopped, are not known yet.
+            m_cancelsWhileRestoring.insert(*cancelled);
         }
     }
-    m_engine->step();
+    if (m_restored) {
+        m_engine->step();
+    }
 }
 
 void OwnerController::handleAllWorkerRows(const std::vector<Row> &rows)
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -13,6 +13,9 @@
 using Json = nlohmann::json;
 
 constexpr const char *CancelSuffix = "!cancel";
+/** Field with the term in the row of the term. Versions that can't read the present rows of progress don't know it, so
+ * they can't read the term either and don't take it. */
+constexpr const char *RowFormatKey = "format-2";
 
 std::string toBytes(const Json &value)
 {
@@ -65,7 +68,7 @@
     step.perTask.memory = MemoryMib(value.at("m").get<std::int64_t>());
     step.perTask.accelerators = Accelerators(value.at("g").get<std::int64_t>());
     step.estimate = Duration(value.at("e").get<std::int64_t>());
-    step.after = value.at("a").get<std::vector<std::size_t>>();
+    step.after = distinctSteps(value.at("a").get<std::vector<std::size_t>>());
     step.checkpoints = value.at("ck").get<bool>();
     step.gang = value.at("gang").get<bool>();
     step.sameRack = value.at("sr").get<bool>();
@@ -111,9 +114,6 @@
 
 Json taskToJson(const TaskRecord &task, WorkerNumbers &workers)
 {
-    if (task.run == 0) {
-        return Json::array();
-    }
     Json value = {static_cast<int>(task.phase), task.run, task.failures, task.lastFailedRun, task.checkpoint};
     if (task.phase == TaskPhase::Assigned) {
         value.push_back(workers.numberOf(task.worker, task.incarnation));
@@ -124,9 +124,6 @@
 TaskRecord taskFromJson(const Json &value, const Json &workers)
 {
     TaskRecord task;
-    if (value.empty()) {
-        return task;
-    }
     task.phase = phaseFromNumber(value.at(0).get<int>());
     task.run = value.at(1).get<std::int64_t>();
     task.failures = value.at(2).get<int>();
@@ -140,6 +137,52 @@
     return task;
 }
 
+/** True for a step that is done, false for one of which no task was ever assigned, else an array of its tasks: true for
+ * a task that is done, an empty array for one that was never assigned, else its fields. */
+Json stepRecordToJson(const StepRecord &step, WorkerNumbers &workers)
+{
+    if (step.done || step.count == 0) {
+        return step.done;
+    }
+    std::vector<Json> tasks(step.count, Json::array());
+    for (const std::size_t index : step.doneTasks) {
+        tasks.at(index) = true;
+    }
+    for (const auto &[index, task] : step.tasks) {
+        tasks.at(index) = taskToJson(task, workers);
+    }
+    return Json(std::move(tasks));
+}
+
+/** Reads also rows that list the fields of tasks that are done, as versions before this one wrote them. */
+StepRecord stepRecordFromJson(const Json &value, const Json &workers)
+{
+    StepRecord step;
+    if (value.is_boolean()) {
+        step.done = value.get<bool>();
+        return step;
+    }
+    step.count = value.size();
+    for (std::size_t i = 0; i < step.count; ++i) {
+        const Json &task = value.at(i);
+        if (task.is_boolean() && task.get<bool>()) {
+            step.doneTasks.push_back(i);
+        } else if (!task.empty()) {
+            const TaskRecord record = taskFromJson(task, workers);
+            if (record.phase == TaskPhase::Done) {
+                step.doneTasks.push_back(i);
+            } else {
+                step.tasks.emplace(i, record);
+            }
+        }
+    }
+    if (step.count > 0 && step.doneTasks.size() == step.count) {
+        step = StepRecord();
+        step.done = true;
+    }
+    return step;
+}
+
 } // namespace
 
 std::string cancelKey(const JobId &job)
@@ -240,14 +283,16 @@
 
 std::string encodeTerm(const TermRecord &record)
 {
-    return toBytes({{"h", record.holder.value()}, {"e", record.epoch.count()}, {"n", record.sequence}});
+    const Json term = {{"h", record.holder.value()}, {"e", record.epoch.count()}, {"n", record.sequence}};
+    return toBytes({{RowFormatKey, term}});
 }
 
 std::optional<TermRecord> decodeTerm(const std::string &bytes, ProtocolError &error)
 {
     return fromBytes<TermRecord>(
         bytes,
-        [](const Json &value) {
+        [](const Json &row) {
+            const Json &value = row.value(RowFormatKey, row);
             TermRecord record;
             record.holder = InstanceId(value.at("h").get<std::string>());
             record.epoch = Epoch(value.at("e").get<std::int64_t>());
@@ -279,12 +324,8 @@
 {
     WorkerNumbers workers;
     Json steps = Json::array();
-    for (const std::vector<TaskRecord> &step : record.steps) {
-        Json tasks = Json::array();
-        for (const TaskRecord &task : step) {
-            tasks.push_back(taskToJson(task, workers));
-        }
-        steps.push_back(std::move(tasks));
+    for (const StepRecord &step : record.steps) {
+        steps.push_back(stepRecordToJson(step, workers));
     }
     return toBytes({{"w", workers.toJson()}, {"s", std::move(steps)}, {"f", record.jobFailed}});
 }
@@ -298,10 +339,7 @@
             const Json &workers = value.at("w");
             record.jobFailed = value.at("f").get<bool>();
             for (const Json &step : value.at("s")) {
-                std::vector<TaskRecord> &tasks = record.steps.emplace_back();
-                for (const Json &task : step) {
-                    tasks.push_back(taskFromJson(task, workers));
-                }
+                record.steps.push_back(stepRecordFromJson(step, workers));
             }
             return record;
         },
--- a/lib/Workflow/TableFollower.cpp
+++ b/lib/Workflow/TableFollower.cpp
@@ -65,7 +65,14 @@
             m_version = page->version;
             m_hasVersion = true;
         }
-        m_rows.insert(m_rows.end(), page->rows.begin(), page->rows.end());
+        if (m_hooks.page) {
+            m_hooks.page(page->rows);
+        } else {
+            m_rows.insert(m_rows.end(), page->rows.begin(), page->rows.end());
+        }
+        if (m_stopped) {
+            return;
+        }
         if (page->hasMore && !page->rows.empty()) {
             m_from = keyAfter(page->rows.back().key);
             readPage();
--- a/unittests/Workflow/DrainTest.cpp
+++ b/unittests/Workflow/DrainTest.cpp
@@ -116,7 +116,7 @@
     report.draining = true;
     m_harness.engine->handleWorkerReport(report);
     m_harness.workers.onStart = [&report, this](const TaskKey &key, std::int64_t) {
-        EXPECT_NE(m_harness.engine->job(key.job)->occurrences[0].steps[0][key.index].worker, report.id);
+        EXPECT_NE(m_harness.engine->job(key.job)->task(key)->worker, report.id);
     };
     m_harness.engine->batchStored(batch);
     m_harness.runFor(seconds(4));
@@ -132,10 +132,10 @@
     step.estimate = seconds(1);
     m_harness.submit(m_harness.job("service", 1, {step}), {.work = seconds(1000)});
     m_harness.runFor(seconds(2));
-    const WorkerId first = m_harness.engine->job(JobId("service"))->occurrences[0].steps[0][0].worker;
+    const WorkerId first = m_harness.engine->job(JobId("service"))->task({JobId("service"), 0, 0, 0})->worker;
     announce(first, seconds(4));
     m_harness.runFor(milliseconds(1500));
-    EXPECT_NE(m_harness.engine->job(JobId("service"))->occurrences[0].steps[0][0].worker, first);
+    EXPECT_NE(m_harness.engine->job(JobId("service"))->task({JobId("service"), 0, 0, 0})->worker, first);
     EXPECT_EQ(m_harness.workers.runningTasks(), 1U);
 }
 
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -231,33 +231,28 @@
             if (name.first != JobsTable || cancelledJob(name.second)) {
                 continue;
             }
-            const std::optional<JobSpec> spec = decodeJob(row.value, error);
-            std::map<std::size_t, OccurrenceRecord> progress;
-            for (std::size_t k = 0; k < std::max<std::size_t>(spec->occurrences, 1); ++k) {
-                if (const Row *stored = store.find(ProgressTable, progressKey(spec->id, k))) {
-                    progress[k] = *decodeOccurrence(stored->value, error);
-                }
+            engine->addJob(*decodeJob(row.value, error));
+        }
+        std::map<JobId, std::set<std::size_t>> leftover;
+        for (const auto &[name, row] : store.rows) {
+            const std::size_t dot = name.second.rfind('.');
+            if (name.first != ProgressTable) {
+                continue;
+            }
+            const JobId id(name.second.substr(0, dot));
+            const std::size_t occurrence = std::stoul(name.second.substr(dot + 1));
+            if (!engine->restoreProgress(id, occurrence, *decodeOccurrence(row.value, error))) {
+                leftover[id].insert(occurrence);
             }
-            engine->restoreJob(*spec, progress);
         }
+        engine->finishRestore();
         for (const auto &[name, row] : store.rows) {
             if (const auto job = cancelledJob(name.second); name.first == JobsTable && job) {
                 engine->cancelJob(*job);
             }
         }
-        removeProgressWithoutJob();
-    }
-
-    void removeProgressWithoutJob()
-    {
-        for (const auto &[name, row] : store.rows) {
-            const std::size_t dot = name.second.rfind('.');
-            if (name.first != ProgressTable || store.find(JobsTable, name.second.substr(0, dot)) != nullptr) {
-                continue;
-            }
-            ProtocolError error;
-            engine->removeProgress(JobId(name.second.substr(0, dot)),
-                                   {{std::stoul(name.second.substr(dot + 1)), *decodeOccurrence(row.value, error)}});
+        for (const auto &[id, occurrences] : leftover) {
+            engine->removeProgress(id, occurrences);
         }
     }
 };
--- a/unittests/Workflow/EvacuatedDataCentresTest.cpp
+++ b/unittests/Workflow/EvacuatedDataCentresTest.cpp
@@ -253,7 +253,7 @@
     submit("job", 6, seconds(1));
     m_harness.runFor(seconds(3));
     EXPECT_TRUE(m_starts.empty());
-    EXPECT_EQ(m_harness.engine->job(JobId("job"))->task({JobId("job"), 0, 0, 0}).run, 0) << "assigned and abandoned";
+    EXPECT_EQ(m_harness.engine->job(JobId("job"))->task({JobId("job"), 0, 0, 0}), nullptr) << "assigned and abandoned";
     m_harness.evacuationsAnswer = true;
     m_harness.runFor(seconds(3));
     EXPECT_TRUE(isCompleted("job"));
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -692,8 +692,8 @@
             for (std::size_t s = 0; job != nullptr && s < spec.steps.size(); ++s) {
                 for (std::size_t i = 0; i < spec.steps[s].tasks; ++i) {
                     const TaskKey key{id, 0, s, i};
-                    const Task &task = job->task(key);
-                    EXPECT_TRUE(task.phase != TaskPhase::Assigned || runs.count({key, task.run}) > 0)
+                    const Task *task = job->task(key);
+                    EXPECT_TRUE(job->phase(key) != TaskPhase::Assigned || runs.count({key, task->run}) > 0)
                         << toString(key) << " is assigned and has no run";
                 }
             }
--- a/unittests/Workflow/RestoredIncarnationTest.cpp
+++ b/unittests/Workflow/RestoredIncarnationTest.cpp
@@ -23,7 +23,7 @@
     ProtocolError error;
     Row row = *harness.store.find(ProgressTable, progressKey(JobId("a"), 0));
     OccurrenceRecord progress = *decodeOccurrence(row.value, error);
-    progress.steps[0][0].incarnation = harness.workers.machines().at(id).report.incarnation;
+    progress.steps[0].tasks.at(0).incarnation = harness.workers.machines().at(id).report.incarnation;
     row.value = encodeOccurrence(progress);
     harness.store.apply({{}, {row}, {}});
     harness.startOwner();
