Workflow: a planning pass follows what can run, in parts of limited work

What callers saw: two recurring jobs that no worker can hold, due 1,000 times, are accepted.

Cause: a pass made a candidate of each due occurrence and step (16,000), and for each of them walked over all tasks of the job (640,000), listed its tasks and searched all workers, on the thread that serves callers, the store and the term.

Fix: steps that the listed workers could not run if they were empty are left out (decision::PoolCapacity); occurrences are taken in order only as far as they find room (WaitingSteps); a need that found no room is not compared with the workers again in the pass; and a pass has a budget of comparisons (decision::PlanningBudget), after which it is continued in the next step, urgent work first. Starts in one change of the store, and the turn of a job in it, are limited too, and advice is kept for 200 steps.

--- a/include/corianderscale/Workflow/AdviceCache.h
+++ b/include/corianderscale/Workflow/AdviceCache.h
@@ -33,10 +33,18 @@
     /** Asks the advisor about workers of @p board that could run a task of the step, unless a question is in flight. */
     void ask(const StepKey &step, const PlacementBoard &board, PlacementNeed need);
 
+    /** Whether the advisor was asked about the step and its advice is kept. */
+    bool knows(const StepKey &step) const;
+
     /** Forgets the approval of a worker, after the worker rejected its ticket. */
     void dropTicket(const StepKey &step, const WorkerId &worker);
 
     void forget(const JobId &job);
+    void forget(const StepKey &step);
+
+    /** Maximum number of steps whose advice is kept. More can't be asked about before their tickets expire; for a step
+     * that was left out the advisor is asked again. */
+    static constexpr std::size_t MaximumSteps = 200;
 
 private:
     struct WorkerAdvice {
@@ -47,6 +55,15 @@
         MonotonicTime usableUntil;
     };
 
+    /** The advice on one step. */
+    struct StepAdvice {
+        MonotonicTime askedAt;
+        std::map<WorkerId, WorkerAdvice> workers;
+    };
+
+    /** The advice on the step, added if it is not known; the step that was asked about longest ago is left out for it.
+     */
+    StepAdvice &adviceOn(const StepKey &step);
     bool usable(const WorkerAdvice &workerAdvice, const Worker &worker) const;
     void storeAdvice(const StepKey &step,
                      const std::map<WorkerId, Incarnation> &asked,
@@ -56,7 +73,7 @@
     Clock m_clock;
     std::function<void()> m_answered;
     Advisor *m_advisor = nullptr;
-    std::map<StepKey, std::map<WorkerId, WorkerAdvice>> m_advice;
+    std::map<StepKey, StepAdvice> m_advice;
     bool m_questionInFlight = false;
     MonotonicTime m_nextAskAt;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "corianderscale/Decision/FailureWave.h"
+#include "corianderscale/Decision/PlanningBudget.h"
+#include "corianderscale/Decision/PoolCapacity.h"
 #include "corianderscale/Decision/WorkerSpeed.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/AdviceCache.h"
@@ -11,8 +13,10 @@
 #include "corianderscale/Workflow/Reclaim.h"
 #include "corianderscale/Workflow/RowStore.h"
 #include "corianderscale/Workflow/UrgentReserve.h"
+#include "corianderscale/Workflow/WaitingSteps.h"
 #include "corianderscale/Workflow/WorkerTable.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,7 +29,7 @@
 
 namespace coriander::workflow {
 
-/** Timeouts and intervals of the engine; the deployment's settings replace the defaults of @c lease and @c
+/** Timeouts, intervals and limits of the engine; the deployment's settings replace the defaults of @c lease and @c
  * longestLease. */
 struct EngineTimes {
     /** Length of the lease that orders give to a worker's runs. Shorter than the deployment's longest lease, longer
@@ -81,6 +85,8 @@
     Duration maximumEvacuationsAge = std::chrono::milliseconds(3000);
     /** How long a worker gets no new work after it refused a start. */
     Duration refusalAvoidTime = std::chrono::seconds(2);
+    /** Work of one part of a planning pass, see decision::PlanningBudget. */
+    std::size_t planningWork = decision::PlanningBudget::MaximumWork;
 };
 
 /** Counts of events since the term began. */
@@ -93,6 +99,8 @@
     std::map<EndKind, std::size_t> ended;
     /** Completed runs that had been given up before their end was listed. */
     std::size_t completedAfterGivenUp = 0;
+    /** How often a planning pass stopped because its budget was spent, and was continued later. */
+    std::size_t planningContinued = 0;
 };
 
 /** Rows to store in one transaction, and the actions that follow once they are stored. */
@@ -223,7 +231,7 @@
     ///@}
 
 private:
-    /** The waiting tasks of one step of an occurrence, with the values that decide their order in a planning pass. */
+    /** The waiting tasks of one step of an occurrence. */
     struct Candidate {
         Job *job = nullptr;
         std::size_t occurrence = 0;
@@ -348,12 +356,25 @@
      * ago, or the owner is late. Logs when this changes. */
     bool isPlacingPaused(MonotonicTime now);
     void plan(MonotonicTime now);
-    std::vector<Candidate> candidates(MonotonicTime now);
+    /** The waiting steps that the workers could run if they were empty, in the order in which they are placed. */
+    WaitingSteps waitingSteps(MonotonicTime now);
+    void addWaitingStep(Job &job,
+                        const QueueSpec &queue,
+                        std::size_t step,
+                        std::size_t due,
+                        MonotonicTime now,
+                        WaitingSteps &into) const;
+    /** Places waiting steps until the budget is spent; the next pass continues from there. */
+    void placeWaiting(WaitingSteps &waiting, PlacementBoard &board, MonotonicTime now);
+    /** Whether a later occurrence of the step may find room where this one finds none. */
+    bool mayDifferFromLaterOccurrences(const Candidate &candidate) const;
+    /** Whether the listed workers could run the step if they were empty. */
+    bool canEverRun(const StepSpec &step, const QueueSpec &queue) const;
+    void updatePools();
     /** When an occurrence was submitted or due. */
     MonotonicTime countedSince(const Job &job, std::size_t occurrence) const;
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
     MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
-    void addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into);
     /** Sets the speeds of the board's workers, if the pool is uneven. */
     void markSpeeds(PlacementBoard &board) const;
     /** Learned speeds of the workers of a service; null while it has no slow workers. */
@@ -376,10 +397,16 @@
     /** Whether a run of one of these tasks has failed. */
     static bool hasFailed(const Candidate &candidate, const std::vector<std::size_t> &tasks);
     /** Reserves workers where a gang will soon fit, so that later candidates of this pass do not use them. */
-    static void reserveForGang(const PlacementNeed &need, PlacementBoard &board);
-    void place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
+    void reserveForGang(const PlacementNeed &need, PlacementBoard &board);
+    enum class PlaceOutcome {
+        Placed,
+        /** Runs are being stopped to make room. */
+        Reclaimed,
+        NoRoom,
+    };
+    PlaceOutcome place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
     /** Places tasks as @p need says: all together if the step is a gang. */
-    static std::vector<std::size_t> findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board);
+    std::vector<std::size_t> findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board);
     /** Marks the workers that proved themselves since a wave of failures began or may have begun. */
     void markProvenWorkers(PlacementBoard &board, MonotonicTime now);
     /** Whether the task waits for a proven worker, because one more failure would fail its job. */
@@ -486,11 +513,29 @@
     bool m_provenMarked = false;
     /** Used and total capacity of each pool in the present planning pass; filled when first asked for. */
     std::map<ServiceName, std::pair<decision::Resources, decision::Resources>> m_poolUse;
+    /** What the listed workers of each pool could hold, and whether it has to be computed again. */
+    std::map<ServiceName, decision::PoolCapacity> m_pools;
+    bool m_poolsOutdated = true;
+    /** What decides whether a need finds any room, apart from the state of the board. */
+    using NeedKey = std::tuple<ServiceName,
+                               std::string,
+                               RackId,
+                               decision::Resources,
+                               std::size_t,
+                               std::size_t,
+                               double,
+                               std::array<bool, 7>>;
+    /** Needs that found no room in the present planning pass. */
+    std::set<NeedKey> m_fullNeeds;
+    decision::PlanningBudget m_planningBudget;
+    /** Where the last planning pass stopped because its budget was spent. */
+    std::optional<PlanningPlace> m_planContinuesAfter;
     /** Share of the accelerators in use; valid while workers are marked as proven. */
     double m_usedShare = 0;
     DataCentreWatch m_dataCentreWatch;
-    /** Jobs with rows to store, in order of the job id. */
+    /** Jobs with rows to store, in order of the job id; and the last one whose rows were taken. */
     std::set<JobId> m_dirtyJobs;
+    JobId m_lastStoredJob;
     /** Keys of progress rows of ended jobs that are still to be removed. */
     std::vector<std::string> m_leftoverProgress;
     /** Jobs that ended recently, with the time; a delayed feed may still show them. */
--- a/include/corianderscale/Workflow/JobSpec.h
+++ b/include/corianderscale/Workflow/JobSpec.h
@@ -44,6 +44,9 @@
     /** Whether the tasks use only idle processor time; no cores are reserved for them. */
     bool usesIdleCores = false;
     ImageName image;
+
+    /** What a run of a task takes of the capacity of its worker. */
+    decision::Resources reservedResources() const;
 };
 
 /** A job as accepted. */
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -128,7 +128,8 @@
 
     Worker *find(const WorkerId &id);
 
-    /** Adds a run and subtracts its capacity. Precondition: the worker has no run with the same key. */
+    /** Adds a run and subtracts its capacity. Precondition: the worker is in the table under the id of its report, and
+     * has no run with the same key. */
     Run &addRun(Worker &worker, Run run);
 
     /** Removes a run and frees its capacity; returns whether the worker had the run. */
@@ -142,6 +143,8 @@
 
 private:
     std::map<WorkerId, Worker> m_workers;
+    /** Number of runs of each step on each worker that has any. */
+    std::map<StepKey, std::map<WorkerId, std::size_t>> m_runsOfSteps;
 };
 
 /** Component-wise arithmetic and comparison. */
--- a/lib/Workflow/AdviceCache.cpp
+++ b/lib/Workflow/AdviceCache.cpp
@@ -41,7 +41,7 @@
     if (adviceByWorker == m_advice.end()) {
         return result;
     }
-    for (const auto &[id, workerAdvice] : adviceByWorker->second) {
+    for (const auto &[id, workerAdvice] : adviceByWorker->second.workers) {
         const auto worker = workers.all().find(id);
         if (worker != workers.all().end() && usable(workerAdvice, worker->second)) {
             result.insert(id);
@@ -56,8 +56,25 @@
     if (adviceByWorker == m_advice.end()) {
         return {};
     }
-    const auto workerAdvice = adviceByWorker->second.find(worker.report.id);
-    return workerAdvice == adviceByWorker->second.end() ? std::string() : workerAdvice->second.ticket;
+    const auto workerAdvice = adviceByWorker->second.workers.find(worker.report.id);
+    return workerAdvice == adviceByWorker->second.workers.end() ? std::string() : workerAdvice->second.ticket;
+}
+
+AdviceCache::StepAdvice &AdviceCache::adviceOn(const StepKey &step)
+{
+    if (m_advice.size() >= MaximumSteps && !knows(step)) {
+        m_advice.erase(std::min_element(m_advice.begin(), m_advice.end(), [](const auto &left, const auto &right) {
+            return left.second.askedAt < right.second.askedAt;
+        }));
+    }
+    StepAdvice &advice = m_advice[step];
+    advice.askedAt = m_clock.now();
+    return advice;
+}
+
+bool AdviceCache::knows(const StepKey &step) const
+{
+    return m_advice.count(step) > 0;
 }
 
 void AdviceCache::ask(const StepKey &step, const PlacementBoard &board, PlacementNeed need)
@@ -66,7 +83,7 @@
         return;
     }
     need.approved.reset();
-    std::map<WorkerId, WorkerAdvice> &adviceByWorker = m_advice[step];
+    const std::map<WorkerId, WorkerAdvice> &adviceByWorker = adviceOn(step).workers;
     // Workers whose approval expired come first, then workers with room now, then all others.
     std::vector<std::pair<int, const Worker *>> candidates;
     for (const std::size_t index : board.eligible(need)) {
@@ -124,12 +141,12 @@
         return;
     }
     for (const auto &[id, incarnation] : asked) {
-        adviceByWorker->second[id] = {incarnation, false, {}, {}};
+        adviceByWorker->second.workers[id] = {incarnation, false, {}, {}};
     }
     for (const auto &[id, ticket] : advice.approved) {
         const auto known = asked.find(id);
         if (known != asked.end()) {
-            adviceByWorker->second[id] = {known->second, true, ticket, sentAt + advice.valid - TicketMargin};
+            adviceByWorker->second.workers[id] = {known->second, true, ticket, sentAt + advice.valid - TicketMargin};
         }
     }
     logEvent(LogLevel::Info,
@@ -146,7 +163,7 @@
 {
     const auto adviceByWorker = m_advice.find(step);
     if (adviceByWorker != m_advice.end()) {
-        adviceByWorker->second.erase(worker);
+        adviceByWorker->second.workers.erase(worker);
     }
 }
 
@@ -155,4 +172,9 @@
     std::erase_if(m_advice, [&job](const auto &each) { return each.first.job == job; });
 }
 
+void AdviceCache::forget(const StepKey &step)
+{
+    m_advice.erase(step);
+}
+
 } // namespace coriander::workflow
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -15,6 +15,17 @@
 /** More than the size of an encoded StateRecord. */
 constexpr std::size_t MaximumStateBytes = 2000;
 
+/** Maximum number of starts in one batch, which are all sent when it is stored. One occurrence may have more. */
+constexpr std::size_t MaximumStartsPerBatch = 1000;
+
+/** Whether the batch has room for the starts of the occurrence. */
+bool hasRoomForStarts(const EngineBatch &batch, const Job &job, std::size_t occurrence)
+{
+    const auto starts = job.pendingStarts.find(occurrence);
+    return batch.starts.empty() || starts == job.pendingStarts.end()
+        || batch.starts.size() + starts->second.size() <= MaximumStartsPerBatch;
+}
+
 /** Encodes the progress of an occurrence in at most @p limit bytes. Where they take more, the checkpoints are left out:
  * after a change of owner their tasks start from the beginning. */
 std::string encodeOccurrenceWithin(std::size_t limit, OccurrenceRecord record, const JobId &job)
@@ -293,7 +304,9 @@
     const JobId &id = job.spec.id;
     if (job.stateDirty) {
         // An occurrence of a failed job says so, so it must not be stored later than the state.
-        if (!batch.hasRoom(limits, StateRows + 1, MaximumStateBytes + limits.rowBytes)) {
+        const bool startsFit
+            = job.dirtyOccurrences.empty() || hasRoomForStarts(batch, job, *job.dirtyOccurrences.begin());
+        if (!startsFit || !batch.hasRoom(limits, StateRows + 1, MaximumStateBytes + limits.rowBytes)) {
             return false;
         }
         const StateRecord record{job.state, job.spec.queue, job.spec.organisation, now};
@@ -309,7 +322,7 @@
     while (!job.dirtyOccurrences.empty()) {
         const std::size_t k = *job.dirtyOccurrences.begin();
         std::string value = encodeOccurrenceWithin(limits.rowBytes, job.record(k), id);
-        if (!batch.hasRoom(limits, 1, value.size())) {
+        if (!hasRoomForStarts(batch, job, k) || !batch.hasRoom(limits, 1, value.size())) {
             return false;
         }
         batch.write({ProgressTable, progressKey(id, k), std::move(value), {}, false});
@@ -376,15 +389,18 @@
 {
     EngineBatch batch;
     while (!m_dirtyJobs.empty()) {
-        const JobId id = *m_dirtyJobs.begin();
-        if (Job *job = findJob(id)) {
+        // Continues after the last job, so that a job whose rows fill each batch does not keep out the others.
+        auto next = m_dirtyJobs.upper_bound(m_lastStoredJob);
+        next = next == m_dirtyJobs.end() ? m_dirtyJobs.begin() : next;
+        m_lastStoredJob = *next;
+        if (Job *job = findJob(*next)) {
             const bool over = isFinal(job->state) && job->assignedCount() == 0;
             const bool added = over ? addEndOf(*job, limits, batch) : addRowsOf(*job, limits, batch, m_clock.wallNow());
             if (!added) {
                 return batch;
             }
         }
-        m_dirtyJobs.erase(id);
+        m_dirtyJobs.erase(next);
     }
     removeLeftoverProgress(limits, batch);
     for (const WorkerId &id : m_workersWithUnstoredEnds) {
--- a/lib/Workflow/JobEngineDataCentres.cpp
+++ b/lib/Workflow/JobEngineDataCentres.cpp
@@ -52,6 +52,7 @@
 void JobEngine::setEvacuatedDataCentres(std::set<DataCentreId> evacuated)
 {
     const std::set<DataCentreId> before = std::exchange(m_evacuatedDataCentres, std::move(evacuated));
+    m_poolsOutdated = true;
     for (const DataCentreId &dataCentre : before) {
         if (m_evacuatedDataCentres.count(dataCentre) == 0) {
             m_emptyDataCentres.erase(dataCentre);
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -84,6 +84,7 @@
     if (answer.outcome == OrderOutcome::OtherIncarnation) {
         workerLost(worker, "another incarnation answers at the address of the worker");
         worker.listed = false;
+        m_poolsOutdated = true;
         return false;
     }
     if (answer.outcome == OrderOutcome::Superseded) {
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -16,6 +16,9 @@
 constexpr double MaximumGangReserveShare = 0.05;
 /** Maximum share of all workers that is reserved for one gang; a larger gang waits until enough workers are free. */
 constexpr double MaximumReserveShareOfOneGang = 0.25;
+/** Work of a lower rank is urgent, covered by a guarantee or lasts; where a pass is done in several parts, each part
+    begins with it. */
+constexpr double UrgentRank = 1;
 /** Delay of an occurrence after its due time, because the wall clocks of VMs differ. */
 constexpr Duration DueTimeMargin = std::chrono::milliseconds(50);
 
@@ -40,6 +43,19 @@
     return job.firstDue + job.interval * static_cast<std::int64_t>(occurrence) + DueTimeMargin;
 }
 
+/** Number of occurrences whose due time is less than @p span after that of the first one. */
+std::size_t occurrencesBefore(const JobSpec &job, Duration span)
+{
+    if (span <= Duration(0)) {
+        return 0;
+    }
+    const std::size_t all = std::max<std::size_t>(job.occurrences, 1);
+    if (job.interval <= Duration(0)) {
+        return all;
+    }
+    return std::min(all, static_cast<std::size_t>((span - Duration(1)) / job.interval) + 1);
+}
+
 /** Number of occurrences that are due; they are the first ones. */
 std::size_t dueOccurrences(const Job &job, WallTime now)
 {
@@ -47,14 +63,7 @@
     if (spec.occurrences == 0) {
         return 1;
     }
-    const Duration sinceFirst = now - dueTime(spec, 0);
-    if (sinceFirst < Duration(0)) {
-        return 0;
-    }
-    if (spec.interval <= Duration(0)) {
-        return spec.occurrences;
-    }
-    return std::min(spec.occurrences, static_cast<std::size_t>(sinceFirst / spec.interval) + 1);
+    return occurrencesBefore(spec, now - dueTime(spec, 0) + Duration(1));
 }
 
 /** Share of the accelerators of the workers on the board that runs use, from 0 to 1. */
@@ -82,8 +91,10 @@
     if (!m_catalogue || isPlacingPaused(now)) {
         return;
     }
-    const std::vector<Candidate> waiting = candidates(now);
+    updatePools();
+    WaitingSteps waiting = waitingSteps(now);
     if (waiting.empty()) {
+        m_planContinuesAfter.reset();
         return;
     }
     PlacementBoard board(m_workers, now, m_dataCentreWatch.silentDataCentres(m_workers, now), m_evacuatedDataCentres);
@@ -96,11 +107,82 @@
     for (const auto &[key, claim] : m_claims) {
         applyClaim(claim, board, true);
     }
-    for (const Candidate &candidate : waiting) {
-        place(candidate, board, now);
+    m_planningBudget = decision::PlanningBudget(m_times.planningWork);
+    m_fullNeeds.clear();
+    placeWaiting(waiting, board, now);
+}
+
+void JobEngine::placeWaiting(WaitingSteps &waiting, PlacementBoard &board, MonotonicTime now)
+{
+    const std::optional<PlanningPlace> continuesAfter = std::exchange(m_planContinuesAfter, std::nullopt);
+    std::optional<PlanningPlace> last = continuesAfter;
+    while (!waiting.empty()) {
+        const WaitingStep &step = waiting.first();
+        const PlanningPlace where = step.place();
+        const bool considered = continuesAfter && where <= *continuesAfter;
+        if (considered && (step.rank >= UrgentRank || m_planningBudget.isUrgentShareSpent())) {
+            waiting.skipFirstThrough(*continuesAfter);
+            continue;
+        }
+        if (m_planningBudget.isSpent()) {
+            if (!continuesAfter) {
+                logEvent(LogLevel::Info,
+                         "planning-divided",
+                         {{"job", where.job}, {"jobs", m_jobs.size()}, {"workers", board.entries().size()}});
+            }
+            ++m_counts.planningContinued;
+            m_planContinuesAfter = last;
+            m_planWanted = true;
+            return;
+        }
+        if (!considered) {
+            last = where;
+        }
+        step.job->waitingSince.try_emplace({step.occurrence, step.step}, now);
+        const Candidate candidate{step.job,
+                                  step.occurrence,
+                                  step.step,
+                                  step.queue,
+                                  step.since(),
+                                  where.objective,
+                                  step.late,
+                                  step.guaranteed};
+        if (place(candidate, board, now) == PlaceOutcome::NoRoom && !mayDifferFromLaterOccurrences(candidate)) {
+            waiting.dropFirst();
+        } else {
+            waiting.advanceFirst();
+        }
+    }
+}
+
+bool JobEngine::mayDifferFromLaterOccurrences(const Candidate &candidate) const
+{
+    // Without tasks that were assigned there are neither runs that count for the limit per worker nor failures.
+    return candidate.job->openStep({candidate.occurrence, candidate.step}) != nullptr
+        || (candidate.queue->needsAdvice && m_advice.knows(stepKey(candidate)));
+}
+
+void JobEngine::updatePools()
+{
+    if (!std::exchange(m_poolsOutdated, false)) {
+        return;
+    }
+    m_pools.clear();
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker.listed && !worker.report.draining && !isEvacuated(worker)) {
+            m_pools[worker.report.service].add(worker.report.capacity, worker.report.labels);
+        }
     }
 }
 
+bool JobEngine::canEverRun(const StepSpec &step, const QueueSpec &queue) const
+{
+    const auto pool = m_pools.find(queue.service);
+    const std::size_t together = step.gang ? step.tasks : 1;
+    return pool != m_pools.end()
+        && pool->second.canHold({step.reservedResources(), together, step.requiredLabel, step.maximumPerWorker});
+}
+
 void JobEngine::markSpeeds(PlacementBoard &board) const
 {
     for (BoardEntry &entry : board.entries()) {
@@ -186,35 +268,58 @@
     return paused;
 }
 
-std::vector<JobEngine::Candidate> JobEngine::candidates(MonotonicTime now)
+WaitingSteps JobEngine::waitingSteps(MonotonicTime now)
 {
-    std::vector<std::pair<std::tuple<double, MonotonicTime, JobId>, Candidate>> ordered;
-    std::vector<Candidate> found;
+    m_coveredJobs = guaranteedJobs();
+    WaitingSteps waiting;
+    const WallTime wallNow = m_clock.wallNow();
     for (auto &[id, job] : m_jobs) {
         const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (isFinal(job.state) || queue == nullptr) {
+        const std::size_t due = dueOccurrences(job, wallNow);
+        if (isFinal(job.state) || queue == nullptr || due == 0) {
             continue;
         }
-        addCandidates(job, *queue, now, found);
+        for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+            addWaitingStep(job, *queue, s, due, now, waiting);
+        }
     }
-    m_coveredJobs = guaranteedJobs();
-    for (Candidate &candidate : found) {
-        candidate.guaranteed = m_coveredJobs.count(candidate.job->spec.id) > 0;
-        const Duration estimate = candidate.job->spec.steps[candidate.step].estimate;
-        const double rank = decision::waitingRank({candidate.queue->priority,
-                                                   candidate.guaranteed,
-                                                   candidate.job->spec.steps[candidate.step].longRunning,
-                                                   now + estimate - candidate.since,
-                                                   candidate.objective - candidate.since});
-        ordered.emplace_back(std::tuple(rank, candidate.objective, candidate.job->spec.id), candidate);
+    return waiting;
+}
+
+void JobEngine::addWaitingStep(
+    Job &job, const QueueSpec &queue, std::size_t step, std::size_t due, MonotonicTime now, WaitingSteps &into) const
+{
+    WaitingStep waiting;
+    waiting.occurrences = job.waitingOccurrences(step, due);
+    const StepSpec &spec = job.spec.steps[step];
+    if (waiting.occurrences.none() || !canEverRun(spec, queue)) {
+        return;
     }
-    std::stable_sort(
-        ordered.begin(), ordered.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
-    found.clear();
-    for (auto &[key, candidate] : ordered) {
-        found.push_back(candidate);
+    waiting.job = &job;
+    waiting.queue = &queue;
+    waiting.step = step;
+    waiting.guaranteed = m_coveredJobs.count(job.spec.id) > 0;
+    waiting.firstSince = countedSince(job, 0);
+    waiting.objective = objectiveOf(job, queue, 0, longestChainEstimate(job.spec)) - waiting.firstSince;
+    const auto rankOf = [&waiting, &queue, &spec](bool late) {
+        return decision::waitingRank({queue.priority,
+                                      waiting.guaranteed,
+                                      spec.longRunning,
+                                      late ? waiting.objective + Duration(1) : waiting.objective,
+                                      waiting.objective});
+    };
+    const std::size_t late
+        = std::min(due, occurrencesBefore(job.spec, now + spec.estimate - waiting.firstSince - waiting.objective));
+    WaitingStep lateOnes = waiting;
+    lateOnes.occurrences.resize(late);
+    lateOnes.late = true;
+    lateOnes.rank = rankOf(true);
+    into.add(std::move(lateOnes));
+    for (std::size_t k = waiting.occurrences.find_first(); k < late; k = waiting.occurrences.find_next(k)) {
+        waiting.occurrences.reset(k);
     }
-    return found;
+    waiting.rank = rankOf(false);
+    into.add(std::move(waiting));
 }
 
 MonotonicTime JobEngine::countedSince(const Job &job, std::size_t occurrence) const
@@ -232,30 +337,6 @@
         + queue.objectiveSlack;
 }
 
-void JobEngine::addCandidates(Job &job, const QueueSpec &queue, MonotonicTime now, std::vector<Candidate> &into)
-{
-    const Duration chain = longestChainEstimate(job.spec);
-    const std::size_t due = dueOccurrences(job, m_clock.wallNow());
-    if (due == 0) {
-        return;
-    }
-    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-        const boost::dynamic_bitset<> waiting = job.waitingOccurrences(s, due);
-        for (std::size_t k = waiting.find_first(); k != boost::dynamic_bitset<>::npos; k = waiting.find_next(k)) {
-            Candidate candidate;
-            candidate.job = &job;
-            candidate.occurrence = k;
-            candidate.step = s;
-            candidate.queue = &queue;
-            candidate.since = countedSince(job, k);
-            candidate.objective = objectiveOf(job, queue, k, chain);
-            candidate.late = now + job.spec.steps[s].estimate > candidate.objective;
-            job.waitingSince.try_emplace({k, s}, now);
-            into.push_back(candidate);
-        }
-    }
-}
-
 std::optional<MonotonicTime> JobEngine::waitingSince(const Candidate &candidate)
 {
     const auto found = candidate.job->waitingSince.find({candidate.occurrence, candidate.step});
@@ -302,10 +383,7 @@
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
     PlacementNeed need;
     need.tasks = tasks.size();
-    need.perTask = step.perTask;
-    if (step.usesIdleCores) {
-        need.perTask.cores = MilliCores(0);
-    }
+    need.perTask = step.reservedResources();
     need.service = candidate.queue->service;
     need.requiredLabel = step.requiredLabel;
     need.dataRack = step.dataRack;
@@ -331,14 +409,17 @@
 
 void JobEngine::reserveForGang(const PlacementNeed &need, PlacementBoard &board)
 {
-    const std::vector<std::size_t> room = entriesToReserve(board, need);
     const auto isReservedForGang = [](const BoardEntry &entry) {
         return entry.reservedForGang;
     };
     const auto reservedCount = std::count_if(board.entries().begin(), board.entries().end(), isReservedForGang);
     const auto all = static_cast<double>(board.entries().size());
-    if (static_cast<double>(reservedCount) > MaximumGangReserveShare * all
-        || static_cast<double>(room.size()) > MaximumReserveShareOfOneGang * all) {
+    if (static_cast<double>(reservedCount) > MaximumGangReserveShare * all) {
+        return;
+    }
+    m_planningBudget.spend(board.entries().size());
+    const std::vector<std::size_t> room = entriesToReserve(board, need);
+    if (static_cast<double>(room.size()) > MaximumReserveShareOfOneGang * all) {
         return;
     }
     for (const std::size_t index : room) {
@@ -363,7 +444,32 @@
 
 std::vector<std::size_t> JobEngine::findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board)
 {
-    return gang ? placeTogether(board, need) : placeEach(board, need);
+    // Room only shrinks during a pass, so what found none before finds none again.
+    const bool comparable = !need.approved && need.placedTasks.empty();
+    const NeedKey key{need.service,
+                      need.requiredLabel,
+                      need.dataRack,
+                      need.perTask,
+                      gang ? need.tasks : 1,
+                      need.maximumPerWorker,
+                      need.minimumSpeed,
+                      {gang,
+                       need.sameRack,
+                       need.preferencesEnd,
+                       need.urgent,
+                       need.excludeFailing,
+                       need.requireCompletedRun,
+                       need.requireProven}};
+    if (comparable && m_fullNeeds.count(key) > 0) {
+        m_planningBudget.spend(1);
+        return {};
+    }
+    m_planningBudget.spend(board.entries().size());
+    std::vector<std::size_t> entries = gang ? placeTogether(board, need) : placeEach(board, need);
+    if (comparable && entries.empty()) {
+        m_fullNeeds.insert(key);
+    }
+    return entries;
 }
 
 void JobEngine::assignTo(const Candidate &candidate,
@@ -435,14 +541,16 @@
     std::erase_if(tasks, waits);
 }
 
-void JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
+JobEngine::PlaceOutcome JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
     std::vector<std::size_t> tasks = waitingTasks(candidate);
     const ClaimKey claimKey{candidate.job->spec.id, candidate.occurrence, candidate.step};
     const auto claim = m_claims.find(claimKey);
     if (claim != m_claims.end()) {
         applyClaim(claim->second, board, false);
+        m_fullNeeds.clear();
     }
+    const std::size_t waitingBefore = tasks.size();
     const bool gang = candidate.job->spec.steps[candidate.step].gang;
     std::vector<std::size_t> entries;
     if (claim != m_claims.end() && gang && !tasks.empty()) {
@@ -452,9 +560,10 @@
     if (preferProven && entries.empty() && !tasks.empty()) {
         placeOnProvenWorkers(candidate, tasks, board, now);
     }
+    const bool onProven = tasks.size() < waitingBefore;
     if (tasks.empty()) {
         m_claims.erase(claimKey);
-        return;
+        return onProven ? PlaceOutcome::Placed : PlaceOutcome::NoRoom;
     }
     PlacementNeed need = needOf(candidate, tasks, now);
     if (need.minimumSpeed > 0 && !canHold(board, need)) {
@@ -473,7 +582,7 @@
     }
     if (entries.empty() && need.minimumSpeed > 0 && candidate.guaranteed && claim == m_claims.end()) {
         if (reclaim(candidate, need, board, now)) {
-            return;
+            return PlaceOutcome::Reclaimed;
         }
         // The start of guaranteed work matters more than its speed.
         need.minimumSpeed = 0;
@@ -492,15 +601,18 @@
         = candidate.job->spec.steps[candidate.step].longRunning && since && now - *since > m_times.lastingWait;
     if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent || lastingWaits)) {
         m_claims.erase(claimKey);
-        return;
+        return onProven || !entries.empty() ? PlaceOutcome::Placed : PlaceOutcome::NoRoom;
     }
     if (claim != m_claims.end() && entries.empty()) {
         applyClaim(claim->second, board, true);
-        return;
+        return PlaceOutcome::Reclaimed;
     }
     PlacementNeed missing = needOf(candidate, waitingTasks(candidate), now);
     missing.minimumSpeed = need.minimumSpeed;
-    reclaim(candidate, missing, board, now);
+    if (reclaim(candidate, missing, board, now)) {
+        return PlaceOutcome::Reclaimed;
+    }
+    return onProven || !entries.empty() ? PlaceOutcome::Placed : PlaceOutcome::NoRoom;
 }
 
 void JobEngine::assign(const Candidate &candidate,
@@ -524,6 +636,7 @@
     }
     const std::string gangCheckpoint = furthest == nullptr ? std::string() : furthest->checkpoint;
     const int gangPercent = furthest == nullptr ? 0 : furthest->checkpointPercent;
+    m_planningBudget.spend(workers.size() * decision::PlanningBudget::WorkPerAssignment);
     for (std::size_t i = 0; i < workers.size(); ++i) {
         Worker &worker = *m_workers.find(workers[i]);
         const TaskKey key{job.spec.id, candidate.occurrence, candidate.step, tasks[i]};
@@ -538,10 +651,7 @@
         Run run;
         run.task = key;
         run.number = task.run;
-        run.resources = step.perTask;
-        if (step.usesIdleCores) {
-            run.resources.cores = MilliCores(0);
-        }
+        run.resources = step.reservedResources();
         const RunKey runKey{run.task, run.number};
         m_workers.addRun(worker, std::move(run));
         job.pendingStarts[candidate.occurrence].emplace_back(workers[i], runKey);
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -29,6 +29,9 @@
 /** Factor of the cost of a run of the claimant's own priority, which is stopped only where others do not make room. */
 constexpr double SamePriorityReluctance = 100;
 
+/** Planning a preemption compares the runs of each worker too. */
+constexpr std::size_t ReclaimWorkPerWorker = 8;
+
 /** Urgent work beyond a guarantee preempts other runs only if they lose at most this share of its own work. */
 constexpr double MaximumLostWorkShare = 0.7;
 
@@ -168,6 +171,7 @@
 
 bool JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
 {
+    m_planningBudget.spend(board.entries().size() * ReclaimWorkPerWorker);
     const std::optional<ReclaimPlan> plan
         = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
               return victimCost(run, candidate, now);
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -126,6 +126,9 @@
         }
         job.setDone(each);
     }
+    if (job.stepDone({key.occurrence, key.step})) {
+        m_advice.forget(StepKey{key.job, key.occurrence, key.step});
+    }
     markDirty(key);
     completeIfDone(job);
 }
@@ -267,6 +270,8 @@
         || report.capacity != worker.report.capacity || report.labels != worker.report.labels
         || report.draining != worker.report.draining;
     m_planWanted = m_planWanted || offersMore;
+    m_poolsOutdated = m_poolsOutdated || offersMore || report.service != worker.report.service
+        || report.dataCentre != worker.report.dataCentre;
     worker.report = report;
     worker.reportOutdated = false;
     if (!report.draining) {
@@ -293,6 +298,7 @@
         return;
     }
     worker->listed = false;
+    m_poolsOutdated = true;
     logEvent(LogLevel::Info, "worker-unlisted", {{"worker", id}, {"runs", worker->runs.size()}});
     if (worker->runs.empty()) {
         m_workerSpeeds[worker->report.service].forget(id);
--- a/lib/Workflow/JobSpec.cpp
+++ b/lib/Workflow/JobSpec.cpp
@@ -35,6 +35,15 @@
     throw std::out_of_range("unknown job state " + name);
 }
 
+decision::Resources StepSpec::reservedResources() const
+{
+    decision::Resources reserved = perTask;
+    if (usesIdleCores) {
+        reserved.cores = MilliCores(0);
+    }
+    return reserved;
+}
+
 std::vector<std::size_t> distinctSteps(std::vector<std::size_t> indices)
 {
     std::sort(indices.begin(), indices.end());
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -105,6 +105,9 @@
         for (const auto &[kind, count] : counts.ended) {
             m_runs.Add({{"event", endKindName(kind)}}).Set(static_cast<double>(count));
         }
+        setGauge("coriander_planning_continued",
+                 "Planning passes since this owner's term began that were too long to be done in one go",
+                 static_cast<double>(counts.planningContinued));
         setGauge("coriander_jobs", "Jobs that have not ended", static_cast<double>(readings.engine->jobCount()));
         std::size_t silent = 0;
         for (const auto &[id, worker] : readings.engine->workers().all()) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -1,5 +1,6 @@
 #include "corianderscale/Workflow/Placement.h"
 
+#include "corianderscale/Decision/PoolCapacity.h"
 #include "corianderscale/Decision/WorkerSpeed.h"
 
 #include <algorithm>
@@ -17,21 +18,6 @@
     return worker.known && !worker.reportOutdated && worker.silentCalls == 0 && worker.clock.has_value();
 }
 
-/** Number of tasks of @p size that fit into @p room, at most @p most. */
-std::size_t countFitting(const decision::Resources &size, const decision::Resources &room, std::size_t most)
-{
-    auto count = static_cast<std::int64_t>(most);
-    const auto bound = [&count](std::int64_t need, std::int64_t have) {
-        if (need > 0) {
-            count = std::min(count, std::max<std::int64_t>(have, 0) / need);
-        }
-    };
-    bound(size.accelerators.count(), room.accelerators.count());
-    bound(size.cores.count(), room.cores.count());
-    bound(size.memory.count(), room.memory.count());
-    return static_cast<std::size_t>(count);
-}
-
 /** Places the tasks of one need on given entries of a board. */
 class TaskPlacer
 {
@@ -58,36 +44,52 @@
     std::size_t slots(std::size_t index) const
     {
         const BoardEntry &entry = m_board.entries()[index];
-        return limitSlots(entry, countFitting(m_need.perTask, entry.room, m_need.tasks));
+        return limitSlots(entry, decision::countFitting(m_need.perTask, entry.room, m_need.tasks));
     }
 
     /** Number of tasks that fit on the worker when it is empty. */
     std::size_t capacitySlots(std::size_t index) const
     {
         const BoardEntry &entry = m_board.entries()[index];
-        return limitSlots(entry, countFitting(m_need.perTask, entry.worker->report.capacity, m_need.tasks));
+        return limitSlots(entry, decision::countFitting(m_need.perTask, entry.worker->report.capacity, m_need.tasks));
     }
 
     /** Places all tasks, or as many as fit, on the entries and takes their room. */
     std::vector<std::size_t> take(PlacementBoard &board, const std::vector<std::size_t> &entries)
     {
-        std::vector<std::size_t> chosen;
-        for (std::size_t i = 0; i < m_need.tasks; ++i) {
-            const std::optional<std::size_t> best = bestOf(entries);
-            if (!best) {
-                break;
+        // A task changes only the key of its own entry, so the others keep their order.
+        const auto isWorse = [](const auto &left, const auto &right) {
+            return left > right;
+        };
+        std::vector<std::pair<SortKey, std::size_t>> heap;
+        for (const std::size_t index : entries) {
+            if (canTake(index)) {
+                heap.emplace_back(sortKey(m_board.entries()[index]), index);
             }
-            BoardEntry &entry = board.entries()[*best];
+        }
+        std::make_heap(heap.begin(), heap.end(), isWorse);
+        std::vector<std::size_t> chosen;
+        while (chosen.size() < m_need.tasks && !heap.empty()) {
+            std::pop_heap(heap.begin(), heap.end(), isWorse);
+            const std::size_t best = heap.back().second;
+            heap.pop_back();
+            BoardEntry &entry = board.entries()[best];
             entry.room = minus(entry.room, m_need.perTask);
             if (m_need.maximumPerWorker > 0) {
                 ++m_need.placedTasks[entry.worker->report.id];
             }
-            chosen.push_back(*best);
+            chosen.push_back(best);
+            if (canTake(best)) {
+                heap.emplace_back(sortKey(entry), best);
+                std::push_heap(heap.begin(), heap.end(), isWorse);
+            }
         }
         return chosen;
     }
 
 private:
+    using SortKey = std::tuple<bool, bool, bool, int, std::int64_t, std::int64_t, std::int64_t>;
+
     std::size_t limitSlots(const BoardEntry &entry, std::size_t slots) const
     {
         if (m_need.maximumPerWorker == 0) {
@@ -103,20 +105,20 @@
      * work prefers reserved workers, work that can wait prefers slow ones, then workers with the least room left after
      * the task come first, compared by accelerators, cores and memory.
      */
-    auto sortKey(const BoardEntry &entry) const
+    SortKey sortKey(const BoardEntry &entry) const
     {
         const bool avoided = entry.avoided || entry.worker->failuresInRow > 0
             || (!m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0);
         const decision::Resources left = minus(entry.room, m_need.perTask);
         const bool unreserved = m_need.urgent && !entry.reserved;
         const bool away = !m_need.dataRack.empty() && entry.worker->report.rack != m_need.dataRack;
-        return std::tuple(away,
-                          avoided,
-                          unreserved,
-                          speedRank(entry),
-                          left.accelerators.count(),
-                          left.cores.count(),
-                          left.memory.count());
+        return {away,
+                avoided,
+                unreserved,
+                speedRank(entry),
+                left.accelerators.count(),
+                left.cores.count(),
+                left.memory.count()};
     }
 
     /** Urgent work that needs a speed prefers workers whose speed is known. Work that can wait prefers slow workers,
@@ -132,19 +134,11 @@
         return m_need.preferSlow ? 1 : 0;
     }
 
-    std::optional<std::size_t> bestOf(const std::vector<std::size_t> &entries) const
+    /** Whether the worker can take one more task. */
+    bool canTake(std::size_t index) const
     {
-        std::optional<std::size_t> best;
-        for (const std::size_t index : entries) {
-            const BoardEntry &entry = m_board.entries()[index];
-            if (!isOpen(index) || !fitsInto(m_need.perTask, entry.room) || limitSlots(entry, 1) == 0) {
-                continue;
-            }
-            if (!best || sortKey(entry) < sortKey(m_board.entries()[*best])) {
-                best = index;
-            }
-        }
-        return best;
+        const BoardEntry &entry = m_board.entries()[index];
+        return isOpen(index) && fitsInto(m_need.perTask, entry.room) && limitSlots(entry, 1) > 0;
     }
 
     const PlacementBoard &m_board;
--- a/lib/Workflow/WorkerTable.cpp
+++ b/lib/Workflow/WorkerTable.cpp
@@ -14,6 +14,11 @@
 /** Margin for the rounding of clocks and timers on the worker. */
 constexpr std::int64_t LeaseEndSlackMs = 100;
 
+StepKey stepOf(const TaskKey &task)
+{
+    return {task.job, task.occurrence, task.step};
+}
+
 } // namespace
 
 decision::Resources plus(const decision::Resources &left, const decision::Resources &right)
@@ -43,6 +48,7 @@
     worker.used = plus(worker.used, run.resources);
     const auto [added, isNew] = worker.runs.emplace(key, std::move(run));
     assert(isNew && "the worker has a run with this key already");
+    ++m_runsOfSteps[stepOf(key.first)][worker.report.id];
     return added->second;
 }
 
@@ -54,23 +60,21 @@
     }
     worker.used = minus(worker.used, found->second.resources);
     worker.runs.erase(found);
+    const auto ofStep = m_runsOfSteps.find(stepOf(key.first));
+    const auto here = ofStep->second.find(worker.report.id);
+    if (--here->second == 0) {
+        ofStep->second.erase(here);
+    }
+    if (ofStep->second.empty()) {
+        m_runsOfSteps.erase(ofStep);
+    }
     return true;
 }
 
 std::map<WorkerId, std::size_t> WorkerTable::countRuns(const StepKey &step) const
 {
-    std::map<WorkerId, std::size_t> counts;
-    for (const auto &[id, worker] : m_workers) {
-        const auto isOfStep = [&step](const auto &each) {
-            const TaskKey &task = each.first.first;
-            return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
-        };
-        const auto count = std::count_if(worker.runs.begin(), worker.runs.end(), isOfStep);
-        if (count > 0) {
-            counts[id] = static_cast<std::size_t>(count);
-        }
-    }
-    return counts;
+    const auto found = m_runsOfSteps.find(step);
+    return found == m_runsOfSteps.end() ? std::map<WorkerId, std::size_t>() : found->second;
 }
 
 decision::Resources WorkerTable::freeCapacity(const Worker &worker)
--- a/unittests/Workflow/RecurringJobTest.cpp
+++ b/unittests/Workflow/RecurringJobTest.cpp
@@ -65,6 +65,23 @@
     EXPECT_EQ(m_harness.storedState(JobId("ordinary")), JobState::Completed);
 }
 
+// The same for occurrences that are due and find no room: a few tasks of each job run, and all others wait.
+TEST_F(RecurringJob, tasksThatWaitTakeNoMemory)
+{
+    const std::size_t before = allocatedBytes();
+    for (int i = 0; i < 10; ++i) {
+        JobSpec spec = recurring("schedule" + std::to_string(i), 8, 200, -hours(1), seconds(1));
+        for (StepSpec &step : spec.steps) {
+            step.perTask = resources(30, 8);
+        }
+        m_harness.workers.setBehaviour(spec.id, 0, {.work = minutes(1), .resources = resources(30, 8)});
+        add(spec);
+    }
+    m_harness.runFor(seconds(1));
+    EXPECT_EQ(m_harness.workers.runningTasks(), 12U);
+    EXPECT_LT(allocatedBytes(), before + 2 * MegaByte);
+}
+
 // The same for jobs that run once, of which only one task at a time finds room.
 TEST_F(RecurringJob, tasksBesideOneThatRunsTakeNoMemory)
 {
