Workflow: a new owner reserves for each run what its predecessor did

What callers saw: on each of six workers a task that uses idle cores lasts.

Cause: restoring a run, and taking up one that a worker lists unexpectedly, computed what it reserves from the step's cores; only the planning pass left out the cores of steps that use idle ones. So the new owner took all workers for full.

Fix: StepSpec::reservedResources() is the only place that says what a run reserves. On the same path, a restored job counted as begun because a start had been stored, also if it was never carried out, and then was missing in the number of waiting jobs for ever; now a done or failed task, a checkpoint or the worker's list shows that it has begun.

--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -182,7 +182,7 @@
     Run run;
     run.task = key;
     run.number = task.run;
-    run.resources = job.step(key).perTask;
+    run.resources = job.step(key).reservedResources();
     run.start = StartState::Unclear;
     run.startCallEndedAt = m_clock.now();
     run.earlierTerm = true;
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -407,7 +407,7 @@
             // The resources of a run of an unknown job are not known, so nothing else may start there until it is gone.
             orphan.resources = worker.report.capacity;
             if (const Job *job = findJobOf(each.task); job != nullptr) {
-                orphan.resources = job->step(each.task).perTask;
+                orphan.resources = job->step(each.task).reservedResources();
             }
             orphan.stopWanted = true;
             orphan.nextStopAt = now;
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -331,10 +331,12 @@
             }
             Task &restored = setPhase(key, task.phase);
             static_cast<TaskRecord &>(restored) = task;
+            // A run that was assigned may not have been started; its worker tells.
+            begun = begun || task.failures > 0 || !task.checkpoint.empty();
         }
-        started = started || stored.done || !stored.doneTasks.empty() || !stored.tasks.empty();
+        begun = begun || stored.done || !stored.doneTasks.empty();
+        started = started || begun || !stored.tasks.empty();
     }
-    begun = started;
     if (record.jobFailed) {
         state = JobState::Failed;
     }
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -119,7 +119,7 @@
     void submit(const JobSpec &spec, FakeWorkers::TaskBehaviour behaviour)
     {
         for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-            behaviour.resources = spec.steps[s].perTask;
+            behaviour.resources = spec.steps[s].reservedResources();
             behaviour.gang = spec.steps[s].gang;
             behaviour.gangSize = spec.steps[s].tasks;
             behaviour.maximumPerWorker = spec.steps[s].maximumPerWorker;
