Workflow: an accepted job outlives its queue

What callers saw: a new configuration replaces a route by one of another name.

Cause: a job was stored with the name of its queue only, and planning, preemption, guarantees and attempts looked the queue up in the newest configuration. Without the name there, the job was left out.

Fix: QueuePolicy, the part of a queue by which jobs run, is stored with the job by the node that accepts it. The owner takes over later policies of the queue and stores them; without the queue the last one holds, also at the next owner.

--- a/include/corianderscale/Workflow/Catalogue.h
+++ b/include/corianderscale/Workflow/Catalogue.h
@@ -17,27 +17,15 @@
 using ConfigurationVersion = Quantity<struct ConfigurationVersionTag>;
 
 /** Configuration of a queue. */
-struct QueueSpec {
+struct QueueSpec : QueuePolicy {
     QueueName name;
     /** Host and path prefix that select the queue. */
     std::string host;
     std::string prefix;
-    /** Pool of workers that run its tasks. */
-    ServiceName service;
-    /** Jobs of a lower number are placed first; jobs of priority 0 are urgent and may preempt others. */
-    int priority = 0;
-    /** Number of failed runs of a task after which its job fails. */
-    int maximumAttempts = 1;
-    /** Factor in the latency objective by which the expected time of the longest chain of steps is multiplied. */
-    double stretch = 1;
-    /** Fixed time that is added in the latency objective. */
-    Duration objectiveSlack{};
     /** Longest time that a call may take; 0 for no limit. */
     Duration callTimeout{};
     /** Whether calls need no credential. */
     bool open = false;
-    /** Whether tasks may run only on workers that the advisor approved. */
-    bool needsAdvice = false;
 };
 
 struct OrganisationSpec {
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -236,7 +236,7 @@
         Job *job = nullptr;
         std::size_t occurrence = 0;
         std::size_t step = 0;
-        const QueueSpec *queue = nullptr;
+        const QueuePolicy *policy = nullptr;
         /** When the occurrence was submitted or due. */
         MonotonicTime since;
         /** Time after which the occurrence is late. */
@@ -279,9 +279,12 @@
     /** The job of a task; null if it is not known or has no such task, which a worker's list may name. */
     Job *findJobOf(const TaskKey &key);
     const Job *findJobOf(const TaskKey &key) const;
-    /** Number of failed runs of a task after which its job fails; no value while the queue of the job is not in the
-     * configuration. */
-    std::optional<int> maximumAttempts(const Job &job) const;
+    /** Number of failed runs of a task after which its job fails; no value while no policy of its queue is known. */
+    static std::optional<int> maximumAttempts(const Job &job);
+    /** Takes over the policy that the configuration has for the job's queue; keeps the last one if it has none. */
+    void updatePolicy(Job &job);
+    /** Logs the queues of open jobs that are not configured. */
+    void logMissingQueues() const;
     /** Fails the job if a task that waits has no attempts left, which may become known only when its queue is back. */
     void failIfOutOfAttempts(Job &job);
 
@@ -359,7 +362,7 @@
     /** The waiting steps that the workers could run if they were empty, in the order in which they are placed. */
     WaitingSteps waitingSteps(MonotonicTime now);
     void addWaitingStep(Job &job,
-                        const QueueSpec &queue,
+                        const QueuePolicy &policy,
                         std::size_t step,
                         std::size_t due,
                         MonotonicTime now,
@@ -369,12 +372,12 @@
     /** Whether a later occurrence of the step may find room where this one finds none. */
     bool mayDifferFromLaterOccurrences(const Candidate &candidate) const;
     /** Whether the listed workers could run the step if they were empty. */
-    bool canEverRun(const StepSpec &step, const QueueSpec &queue) const;
+    bool canEverRun(const StepSpec &step, const ServiceName &service) const;
     void updatePools();
     /** When an occurrence was submitted or due. */
     MonotonicTime countedSince(const Job &job, std::size_t occurrence) const;
     /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
-    MonotonicTime objectiveOf(const Job &job, const QueueSpec &queue, std::size_t occurrence, Duration chain) const;
+    MonotonicTime objectiveOf(const Job &job, const QueuePolicy &policy, std::size_t occurrence, Duration chain) const;
     /** Sets the speeds of the board's workers, if the pool is uneven. */
     void markSpeeds(PlacementBoard &board) const;
     /** Learned speeds of the workers of a service; null while it has no slow workers. */
@@ -473,19 +476,19 @@
     void monitorRuns(MonotonicTime now);
     /** Learns the speeds of workers from the runs of one step. */
     void observeSpeeds(const Job &job,
-                       const QueueSpec &queue,
+                       const QueuePolicy &policy,
                        const StepKey &step,
                        const std::vector<MonitoredRun> &runs);
     /** Estimates the speeds of workers from all observations; logs when the pool becomes uneven or even. */
     void updateSpeeds();
     /** Precondition: the step is open. */
     std::vector<MonitoredRun> monitoredRuns(const Job &job, const StepIndex &step);
-    void monitorStep(Job &job, const QueueSpec &queue, const StepIndex &step, MonotonicTime now);
+    void monitorStep(Job &job, const QueuePolicy &policy, const StepIndex &step, MonotonicTime now);
     /** @p reference is the typical progress of the step's runs, in percent per second; 0 if no run progresses. */
     void markWorkerSlow(Worker &worker, const Run &run, double reference, MonotonicTime now);
     /** @p reference as for markWorkerSlow(). */
     bool isWorthMoving(const Job &job,
-                       const QueueSpec &queue,
+                       const QueuePolicy &policy,
                        const Run &run,
                        double reference,
                        bool stalled,
--- a/include/corianderscale/Workflow/JobSpec.h
+++ b/include/corianderscale/Workflow/JobSpec.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,10 +50,31 @@
     decision::Resources reservedResources() const;
 };
 
+/** The part of a queue's configuration by which its jobs run. */
+struct QueuePolicy {
+    /** Pool of workers that run the tasks. */
+    ServiceName service;
+    /** Jobs of a lower number are placed first; jobs of priority 0 are urgent and may preempt others. */
+    int priority = 0;
+    /** Number of failed runs of a task after which its job fails. */
+    int maximumAttempts = 1;
+    /** Factor in the latency objective by which the expected time of the longest chain of steps is multiplied. */
+    double stretch = 1;
+    /** Fixed time that is added in the latency objective. */
+    Duration objectiveSlack{};
+    /** Whether tasks may run only on workers that the advisor approved. */
+    bool needsAdvice = false;
+
+    bool operator==(const QueuePolicy &) const = default;
+};
+
 /** A job as accepted. */
 struct JobSpec {
     JobId id;
     QueueName queue;
+    /** The newest policy of the queue that was known; the job runs by it when the queue is not configured any more. No
+     * value in rows of earlier versions. */
+    std::optional<QueuePolicy> policy;
     OrganisationId organisation;
     /** Opaque text handed to each task. */
     std::string payload;
--- a/include/corianderscale/Workflow/WaitingSteps.h
+++ b/include/corianderscale/Workflow/WaitingSteps.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "corianderscale/Workflow/Catalogue.h"
 #include "corianderscale/Workflow/JobTable.h"
 
 #include <boost/dynamic_bitset.hpp>
@@ -29,7 +28,7 @@
  * them. */
 struct WaitingStep {
     Job *job = nullptr;
-    const QueueSpec *queue = nullptr;
+    const QueuePolicy *policy = nullptr;
     std::size_t step = 0;
     boost::dynamic_bitset<> occurrences;
     double rank = 0;
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -75,8 +75,42 @@
     m_catalogue = std::move(catalogue);
     m_planWanted = true;
     for (auto &[id, job] : m_jobs) {
+        updatePolicy(job);
         failIfOutOfAttempts(job);
     }
+    logMissingQueues();
+}
+
+void JobEngine::updatePolicy(Job &job)
+{
+    const QueueSpec *queue = m_catalogue ? m_catalogue->queue(job.spec.queue) : nullptr;
+    if (queue == nullptr || job.spec.policy == *queue) {
+        return;
+    }
+    job.spec.policy = *queue;
+    job.policyDirty = true;
+    m_dirtyJobs.insert(job.spec.id);
+}
+
+void JobEngine::logMissingQueues() const
+{
+    // By queue: the number of open jobs, and of those among them that have no policy to run by.
+    std::map<QueueName, std::pair<std::size_t, std::size_t>> missing;
+    for (const auto &[id, job] : m_jobs) {
+        if (!isFinal(job.state) && m_catalogue && m_catalogue->queue(job.spec.queue) == nullptr) {
+            auto &[jobs, withoutPolicy] = missing[job.spec.queue];
+            ++jobs;
+            withoutPolicy += job.spec.policy ? 0 : 1;
+        }
+    }
+    for (const auto &[queue, counts] : missing) {
+        logEvent(LogLevel::Info,
+                 "queue-not-configured",
+                 {{"queue", queue},
+                  {"jobs", counts.first},
+                  {"without_policy", counts.second},
+                  {"configuration", m_catalogue->version}});
+    }
 }
 
 Job *JobEngine::findJob(const JobId &id)
@@ -97,10 +131,9 @@
     return job != nullptr && job->has(key) ? job : nullptr;
 }
 
-std::optional<int> JobEngine::maximumAttempts(const Job &job) const
+std::optional<int> JobEngine::maximumAttempts(const Job &job)
 {
-    const QueueSpec *queue = m_catalogue ? m_catalogue->queue(job.spec.queue) : nullptr;
-    return queue == nullptr ? std::nullopt : std::optional(queue->maximumAttempts);
+    return job.spec.policy ? std::optional(job.spec.policy->maximumAttempts) : std::nullopt;
 }
 
 void JobEngine::failIfOutOfAttempts(Job &job)
@@ -143,6 +176,7 @@
 
 void JobEngine::finishRestore()
 {
+    logMissingQueues();
     for (auto &[id, job] : m_jobs) {
         const std::size_t occurrences = job.storedCount();
         if (occurrences == 0) {
@@ -199,6 +233,7 @@
     if (!added) {
         return;
     }
+    updatePolicy(entry->second);
     const JobSpec &job = entry->second.spec;
     logEvent(LogLevel::Info,
              "job-learnt",
@@ -302,6 +337,20 @@
 bool JobEngine::addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now)
 {
     const JobId &id = job.spec.id;
+    if (job.policyDirty) {
+        std::string value = encodeJob(job.spec);
+        if (value.size() > limits.rowBytes) {
+            // The row as it was stored fits; a larger one would be refused with all that is stored with it.
+            logEvent(LogLevel::Warning,
+                     "policy-not-stored",
+                     {{"job", id}, {"bytes", value.size()}, {"limit", limits.rowBytes}});
+        } else if (!batch.hasRoom(limits, 1, value.size())) {
+            return false;
+        } else {
+            batch.write({JobsTable, id.value(), std::move(value), {}, false});
+        }
+        job.policyDirty = false;
+    }
     if (job.stateDirty) {
         // An occurrence of a failed job says so, so it must not be stored later than the state.
         const bool startsFit
--- a/lib/Workflow/JobEngineMonitor.cpp
+++ b/lib/Workflow/JobEngineMonitor.cpp
@@ -54,13 +54,12 @@
     }
     m_nextMonitorAt = now + MonitorInterval;
     for (auto &[id, job] : m_jobs) {
-        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (isFinal(job.state) || queue == nullptr) {
+        if (isFinal(job.state) || !job.spec.policy) {
             continue;
         }
         for (const auto &[index, tasks] : job.openSteps()) {
             if (tasks.assigned() > 0) {
-                monitorStep(job, *queue, index, now);
+                monitorStep(job, *job.spec.policy, index, now);
             }
         }
     }
@@ -85,7 +84,7 @@
 }
 
 void JobEngine::observeSpeeds(const Job &job,
-                              const QueueSpec &queue,
+                              const QueuePolicy &policy,
                               const StepKey &step,
                               const std::vector<MonitoredRun> &runs)
 {
@@ -106,7 +105,7 @@
     const std::size_t id
         = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job.value(), step.occurrence, step.step));
     const bool gang = job.spec.steps[step.step].gang;
-    m_workerSpeeds[queue.service].observe(
+    m_workerSpeeds[policy.service].observe(
         id, gang ? decision::TaskLikeness::Same : decision::TaskLikeness::Similar, rates);
 }
 
@@ -127,10 +126,10 @@
     return monitored;
 }
 
-void JobEngine::monitorStep(Job &job, const QueueSpec &queue, const StepIndex &step, MonotonicTime now)
+void JobEngine::monitorStep(Job &job, const QueuePolicy &policy, const StepIndex &step, MonotonicTime now)
 {
     const std::vector<MonitoredRun> runs = monitoredRuns(job, step);
-    observeSpeeds(job, queue, {job.spec.id, step.occurrence, step.step}, runs);
+    observeSpeeds(job, policy, {job.spec.id, step.occurrence, step.step}, runs);
     std::vector<double> rates;
     for (const MonitoredRun &monitored : runs) {
         rates.push_back(monitored.run->rate.value_or(0));
@@ -151,7 +150,7 @@
             continue;
         }
         markWorkerSlow(*monitored.worker, run, reference, now);
-        if (isWorthMoving(job, queue, run, reference, stalled, now)) {
+        if (isWorthMoving(job, policy, run, reference, stalled, now)) {
             moveRun(job, run);
             return;
         }
@@ -172,7 +171,7 @@
 }
 
 bool JobEngine::isWorthMoving(
-    const Job &job, const QueueSpec &queue, const Run &run, double reference, bool stalled, MonotonicTime now) const
+    const Job &job, const QueuePolicy &policy, const Run &run, double reference, bool stalled, MonotonicTime now) const
 {
     const StepSpec &step = job.step(run.task);
     const Task *task = job.task(run.task);
@@ -187,7 +186,7 @@
     const double checkpointShare = task->checkpoint.empty() ? 0 : task->checkpointPercent / FullPercent;
     const double secondsIfMoved = (1 - checkpointShare) * totalSeconds + ExpectedMoveSeconds;
     const auto chain = std::chrono::duration_cast<Duration>(Seconds(totalSeconds));
-    const MonotonicTime objective = objectiveOf(job, queue, run.task.occurrence, chain);
+    const MonotonicTime objective = objectiveOf(job, policy, run.task.occurrence, chain);
     const auto after = [now](double seconds) {
         return now + std::chrono::duration_cast<Duration>(Seconds(seconds));
     };
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -279,8 +279,7 @@
 {
     const bool urgent = std::any_of(worker.runs.begin(), worker.runs.end(), [this](const auto &each) {
         const Job *job = findJobOf(each.first.first);
-        const QueueSpec *queue = job == nullptr || !m_catalogue ? nullptr : m_catalogue->queue(job->spec.queue);
-        return queue != nullptr && queue->priority == 0;
+        return job != nullptr && job->spec.policy && job->spec.policy->priority == 0;
     });
     return urgent ? m_times.urgentHoldWait : m_times.holdWait;
 }
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -142,7 +142,7 @@
         const Candidate candidate{step.job,
                                   step.occurrence,
                                   step.step,
-                                  step.queue,
+                                  step.policy,
                                   step.since(),
                                   where.objective,
                                   step.late,
@@ -159,7 +159,7 @@
 {
     // Without tasks that were assigned there are neither runs that count for the limit per worker nor failures.
     return candidate.job->openStep({candidate.occurrence, candidate.step}) != nullptr
-        || (candidate.queue->needsAdvice && m_advice.knows(stepKey(candidate)));
+        || (candidate.policy->needsAdvice && m_advice.knows(stepKey(candidate)));
 }
 
 void JobEngine::updatePools()
@@ -175,9 +175,9 @@
     }
 }
 
-bool JobEngine::canEverRun(const StepSpec &step, const QueueSpec &queue) const
+bool JobEngine::canEverRun(const StepSpec &step, const ServiceName &service) const
 {
-    const auto pool = m_pools.find(queue.service);
+    const auto pool = m_pools.find(service);
     const std::size_t together = step.gang ? step.tasks : 1;
     return pool != m_pools.end()
         && pool->second.canHold({step.reservedResources(), together, step.requiredLabel, step.maximumPerWorker});
@@ -234,9 +234,9 @@
 double JobEngine::minimumSpeed(const Candidate &candidate, MonotonicTime now) const
 {
     const StepSpec &step = candidate.job->spec.steps[candidate.step];
-    const decision::WorkerSpeeds *speeds = unevenSpeeds(candidate.queue->service);
+    const decision::WorkerSpeeds *speeds = unevenSpeeds(candidate.policy->service);
     // Only a gang is placed as a whole, so that its wait for faster workers has an end.
-    if (speeds == nullptr || candidate.queue->priority != 0 || !step.gang || step.longRunning) {
+    if (speeds == nullptr || candidate.policy->priority != 0 || !step.gang || step.longRunning) {
         return 0;
     }
     const std::optional<MonotonicTime> since = waitingSince(candidate);
@@ -274,35 +274,34 @@
     WaitingSteps waiting;
     const WallTime wallNow = m_clock.wallNow();
     for (auto &[id, job] : m_jobs) {
-        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
         const std::size_t due = dueOccurrences(job, wallNow);
-        if (isFinal(job.state) || queue == nullptr || due == 0) {
+        if (isFinal(job.state) || !job.spec.policy || due == 0) {
             continue;
         }
         for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-            addWaitingStep(job, *queue, s, due, now, waiting);
+            addWaitingStep(job, *job.spec.policy, s, due, now, waiting);
         }
     }
     return waiting;
 }
 
 void JobEngine::addWaitingStep(
-    Job &job, const QueueSpec &queue, std::size_t step, std::size_t due, MonotonicTime now, WaitingSteps &into) const
+    Job &job, const QueuePolicy &policy, std::size_t step, std::size_t due, MonotonicTime now, WaitingSteps &into) const
 {
     WaitingStep waiting;
     waiting.occurrences = job.waitingOccurrences(step, due);
     const StepSpec &spec = job.spec.steps[step];
-    if (waiting.occurrences.none() || !canEverRun(spec, queue)) {
+    if (waiting.occurrences.none() || !canEverRun(spec, policy.service)) {
         return;
     }
     waiting.job = &job;
-    waiting.queue = &queue;
+    waiting.policy = &policy;
     waiting.step = step;
     waiting.guaranteed = m_coveredJobs.count(job.spec.id) > 0;
     waiting.firstSince = countedSince(job, 0);
-    waiting.objective = objectiveOf(job, queue, 0, longestChainEstimate(job.spec)) - waiting.firstSince;
-    const auto rankOf = [&waiting, &queue, &spec](bool late) {
-        return decision::waitingRank({queue.priority,
+    waiting.objective = objectiveOf(job, policy, 0, longestChainEstimate(job.spec)) - waiting.firstSince;
+    const auto rankOf = [&waiting, &policy, &spec](bool late) {
+        return decision::waitingRank({policy.priority,
                                       waiting.guaranteed,
                                       spec.longRunning,
                                       late ? waiting.objective + Duration(1) : waiting.objective,
@@ -329,12 +328,12 @@
 }
 
 MonotonicTime JobEngine::objectiveOf(const Job &job,
-                                     const QueueSpec &queue,
+                                     const QueuePolicy &policy,
                                      std::size_t occurrence,
                                      Duration chain) const
 {
-    return countedSince(job, occurrence) + std::chrono::duration_cast<Duration>(chain * queue.stretch)
-        + queue.objectiveSlack;
+    return countedSince(job, occurrence) + std::chrono::duration_cast<Duration>(chain * policy.stretch)
+        + policy.objectiveSlack;
 }
 
 std::optional<MonotonicTime> JobEngine::waitingSince(const Candidate &candidate)
@@ -375,7 +374,7 @@
     const bool accelerators = candidate.job->spec.steps[candidate.step].perTask.accelerators.count() > 0;
     return since
         && decision::endsPreferences(
-               {now - *since, candidate.job->assignedCount() > 0, usedShare(candidate.queue->service, accelerators)});
+               {now - *since, candidate.job->assignedCount() > 0, usedShare(candidate.policy->service, accelerators)});
 }
 
 PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now)
@@ -384,16 +383,16 @@
     PlacementNeed need;
     need.tasks = tasks.size();
     need.perTask = step.reservedResources();
-    need.service = candidate.queue->service;
+    need.service = candidate.policy->service;
     need.requiredLabel = step.requiredLabel;
     need.dataRack = step.dataRack;
     need.sameRack = step.gang && step.sameRack;
     need.preferencesEnd = endsPreferences(candidate, now);
-    need.urgent = candidate.queue->priority == 0;
+    need.urgent = candidate.policy->priority == 0;
     need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
     need.preferSlow = !need.urgent && unevenSpeeds(need.service) != nullptr && canRunOnSlowWorkers(candidate, now);
     need.maximumPerWorker = step.maximumPerWorker;
-    if (candidate.queue->needsAdvice) {
+    if (candidate.policy->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
     }
     if (need.maximumPerWorker > 0) {
@@ -571,7 +570,7 @@
     }
     // A retry prefers workers that have completed a run, because another failure may fail the job.
     need.requireCompletedRun = hasFailed(candidate, tasks);
-    need.excludeFailing = gang && candidate.queue->priority == 0;
+    need.excludeFailing = gang && candidate.policy->priority == 0;
     if (entries.empty() && (need.requireCompletedRun || need.excludeFailing)) {
         entries = findRoom(need, gang, board);
     }
@@ -595,7 +594,7 @@
     if (entries.empty() && gang && !need.urgent && !candidate.late) {
         reserveForGang(need, board);
     }
-    const bool urgent = candidate.queue->priority == 0 && gang;
+    const bool urgent = candidate.policy->priority == 0 && gang;
     const std::optional<MonotonicTime> since = waitingSince(candidate);
     const bool lastingWaits
         = candidate.job->spec.steps[candidate.step].longRunning && since && now - *since > m_times.lastingWait;
@@ -673,7 +672,7 @@
               {"gang", step.gang},
               {"millicores", step.perTask.cores},
               {"accelerators", step.perTask.accelerators},
-              {"priority", candidate.queue->priority},
+              {"priority", candidate.policy->priority},
               {"late", candidate.late},
               {"slowest_worker", slowestSpeed(workers)},
               {"slack_ms", std::chrono::duration_cast<std::chrono::milliseconds>(candidate.objective - now).count()},
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -78,8 +78,7 @@
 {
     std::map<OrganisationId, std::vector<const Job *>> urgent;
     for (const auto &[id, job] : m_jobs) {
-        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (queue != nullptr && queue->priority == 0 && !isFinal(job.state)) {
+        if (job.spec.policy && job.spec.policy->priority == 0 && !isFinal(job.state)) {
             urgent[job.spec.organisation].push_back(&job);
         }
     }
@@ -113,17 +112,16 @@
     }
     UrgentReserve::Demand demand;
     for (const auto &[id, job] : m_jobs) {
-        const QueueSpec *queue = m_catalogue->queue(job.spec.queue);
-        if (queue == nullptr || queue->priority != 0 || isFinal(job.state)) {
+        if (!job.spec.policy || job.spec.policy->priority != 0 || isFinal(job.state)) {
             continue;
         }
         // Nothing is reserved for a job that no worker is large enough for.
-        const std::int64_t largest = largestWorker[queue->service];
+        const std::int64_t largest = largestWorker[job.spec.policy->service];
         const bool canRun = std::all_of(job.spec.steps.begin(), job.spec.steps.end(), [largest](const StepSpec &step) {
             return step.perTask.accelerators.count() <= largest;
         });
         if (canRun) {
-            demand[queue->service] += largestStepAccelerators(job.spec);
+            demand[job.spec.policy->service] += largestStepAccelerators(job.spec);
         }
     }
     return demand;
@@ -132,11 +130,10 @@
 std::optional<double> JobEngine::victimCost(const Run &run, const Candidate &claimant, MonotonicTime now) const
 {
     const Job *job = findJobOf(run.task);
-    const QueueSpec *queue = job == nullptr ? nullptr : m_catalogue->queue(job->spec.queue);
-    if (queue == nullptr) {
+    if (job == nullptr || !job->spec.policy) {
         return std::nullopt;
     }
-    const bool lower = queue->priority > claimant.queue->priority;
+    const bool lower = job->spec.policy->priority > claimant.policy->priority;
     const bool beyondGuarantee = claimant.guaranteed && m_coveredJobs.count(run.task.job) == 0;
     if (!lower && !beyondGuarantee) {
         return std::nullopt;
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -81,6 +81,28 @@
     return step;
 }
 
+Json policyToJson(const QueuePolicy &policy)
+{
+    return {policy.service.value(),
+            policy.priority,
+            policy.maximumAttempts,
+            policy.stretch,
+            policy.objectiveSlack.count(),
+            policy.needsAdvice};
+}
+
+QueuePolicy policyFromJson(const Json &value)
+{
+    QueuePolicy policy;
+    policy.service = ServiceName(value.at(0).get<std::string>());
+    policy.priority = value.at(1).get<int>();
+    policy.maximumAttempts = value.at(2).get<int>();
+    policy.stretch = value.at(3).get<double>();
+    policy.objectiveSlack = Duration(value.at(4).get<std::int64_t>());
+    policy.needsAdvice = value.at(5).get<bool>();
+    return policy;
+}
+
 TaskPhase phaseFromNumber(int number)
 {
     if (number < 0 || number > static_cast<int>(TaskPhase::Done)) {
@@ -220,15 +242,19 @@
     for (const StepSpec &step : job.steps) {
         steps.push_back(stepToJson(step));
     }
-    return toBytes({{"id", job.id.value()},
-                    {"q", job.queue.value()},
-                    {"o", job.organisation.value()},
-                    {"p", job.payload},
-                    {"s", steps},
-                    {"k", job.occurrences},
-                    {"f", job.firstDue.time_since_epoch().count()},
-                    {"i", job.interval.count()},
-                    {"t", job.acceptedAt.time_since_epoch().count()}});
+    Json value = {{"id", job.id.value()},
+                  {"q", job.queue.value()},
+                  {"o", job.organisation.value()},
+                  {"p", job.payload},
+                  {"s", steps},
+                  {"k", job.occurrences},
+                  {"f", job.firstDue.time_since_epoch().count()},
+                  {"i", job.interval.count()},
+                  {"t", job.acceptedAt.time_since_epoch().count()}};
+    if (job.policy) {
+        value["qp"] = policyToJson(*job.policy);
+    }
+    return toBytes(value);
 }
 
 std::optional<JobSpec> decodeJob(const std::string &bytes, ProtocolError &error)
@@ -239,6 +265,9 @@
             JobSpec job;
             job.id = JobId(value.at("id").get<std::string>());
             job.queue = QueueName(value.at("q").get<std::string>());
+            if (value.contains("qp")) {
+                job.policy = policyFromJson(value.at("qp"));
+            }
             job.organisation = OrganisationId(value.at("o").get<std::string>());
             job.payload = value.at("p").get<std::string>();
             for (const Json &step : value.at("s")) {
--- a/unittests/Platform/CallerRoutesTest.cpp
+++ b/unittests/Platform/CallerRoutesTest.cpp
@@ -32,6 +32,8 @@
         queue.host = "a.example";
         queue.prefix = "/x/";
         queue.open = true;
+        queue.service = ServiceName("pool");
+        queue.maximumAttempts = 4;
         m_catalogue.queues.push_back(queue);
         m_catalogue.index();
     }
@@ -64,6 +66,11 @@
         return m_clock;
     }
 
+    const FakeRowStore &store() const
+    {
+        return m_store;
+    }
+
     CallerServer *server = nullptr;
 
 private:
@@ -131,6 +138,19 @@
     return values;
 }
 
+// Guards against accepted jobs that no later owner can run once their queue is removed.
+TEST_F(Callers, acceptedJobIsStoredWithThePolicyOfItsQueue)
+{
+    const std::string body = R"({"spec":"x","steps":[{"count":1,"cpu":100,"after":[]}]})";
+    ASSERT_EQ(call("POST", "/x/5c0e7a21d94b36f8", body).status, 200);
+    const Row *row = m_node.store().find(JobsTable, "5c0e7a21d94b36f8");
+    ASSERT_NE(row, nullptr);
+    ProtocolError error;
+    const std::optional<JobSpec> job = decodeJob(row->value, error);
+    ASSERT_TRUE(job) << error.reason;
+    EXPECT_EQ(job->policy, QueuePolicy(m_node.catalogue()->queues.front()));
+}
+
 // Guards against one body that ends the process: the reason of the refusal quotes bytes that are not UTF-8.
 TEST_F(Callers, oddBodiesAreRefusedAndTheServerGoesOn)
 {
--- a/unittests/Workflow/RecordsTest.cpp
+++ b/unittests/Workflow/RecordsTest.cpp
@@ -127,5 +127,15 @@
     EXPECT_EQ(restored->steps[1].after, std::vector<std::size_t>{0});
 }
 
+// Guards against a policy that is lost between two owners.
+TEST(JobRecords, keepThePolicyOfTheQueue)
+{
+    JobSpec spec = jobOf({1});
+    ProtocolError error;
+    EXPECT_EQ(decodeJob(encodeJob(spec), error)->policy, std::nullopt);
+    spec.policy = QueuePolicy{ServiceName("pool"), 2, 3, 1.5, std::chrono::milliseconds(250), true};
+    EXPECT_EQ(decodeJob(encodeJob(spec), error)->policy, spec.policy);
+}
+
 } // namespace
 } // namespace coriander::workflow
