Workflow: limit the runs of tasks that need next to nothing

Each run takes memory of the owner and a row in each list of its worker; 20 jobs of 2,000 such tasks were assigned at once.

decision::allowedRuns() limits the runs to 2,000 on a worker and 20,000 in all, and leaves the upper half to jobs of which nothing runs, 16 tasks each, so that others still begin. Ordinary work has at most some 60 tasks on a worker.

--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -2,6 +2,7 @@
 
 #include "corianderscale/Workflow/WorkerTable.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,6 +34,8 @@
     bool requireProven = false;
     /** Maximum number of tasks of the step on one worker; 0 for no limit. */
     std::size_t maximumPerWorker = 0;
+    /** Maximum number of runs on one worker, see decision::allowedRuns(). */
+    std::size_t maximumRunsPerWorker = std::numeric_limits<std::size_t>::max();
     /** Number of tasks of the step that each worker has already; used only with a limit. */
     std::map<WorkerId, std::size_t> placedTasks;
     /** The only workers that may be used; no value if no advisor decides. */
@@ -49,6 +52,8 @@
 struct BoardEntry {
     const Worker *worker = nullptr;
     decision::Resources room;
+    /** Number of runs on the worker, those of this pass included. */
+    std::size_t runs = 0;
     /** Number of the worker's rack. */
     std::size_t rack = 0;
     /** Whether the worker takes new tasks now. Closed workers get no tasks, but count when it is checked whether
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -138,6 +138,12 @@
     /** Number of runs of the step on each worker that has any, runs that are being stopped included. */
     std::map<WorkerId, std::size_t> countRuns(const StepKey &step) const;
 
+    /** Number of runs on all workers. */
+    std::size_t runCount() const
+    {
+        return m_runCount;
+    }
+
     /** Capacity of a worker that no run uses; negative where runs use more than the worker reports. */
     static decision::Resources freeCapacity(const Worker &worker);
 
@@ -145,6 +151,7 @@
     std::map<WorkerId, Worker> m_workers;
     /** Number of runs of each step on each worker that has any. */
     std::map<StepKey, std::map<WorkerId, std::size_t>> m_runsOfSteps;
+    std::size_t m_runCount = 0;
 };
 
 /** Component-wise arithmetic and comparison. */
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -1,4 +1,5 @@
 #include "corianderscale/Decision/PlacementPreference.h"
+#include "corianderscale/Decision/RunLimits.h"
 #include "corianderscale/Decision/WaitingOrder.h"
 #include "corianderscale/Support/Log.h"
 #include "corianderscale/Workflow/JobEngine.h"
@@ -392,6 +393,9 @@
     need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
     need.preferSlow = !need.urgent && unevenSpeeds(need.service) != nullptr && canRunOnSlowWorkers(candidate, now);
     need.maximumPerWorker = step.maximumPerWorker;
+    need.maximumRunsPerWorker
+        = decision::allowedRuns({m_workers.runCount(), candidate.job->assignedCount(), m_workers.all().size()})
+              .runsPerWorker;
     if (candidate.policy->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
     }
@@ -543,6 +547,13 @@
 JobEngine::PlaceOutcome JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
 {
     std::vector<std::size_t> tasks = waitingTasks(candidate);
+    const bool gang = candidate.job->spec.steps[candidate.step].gang;
+    const decision::RunAllowance allowance
+        = decision::allowedRuns({m_workers.runCount(), candidate.job->assignedCount(), board.entries().size()});
+    if (allowance.tasks == 0 || (gang && tasks.size() > allowance.tasks)) {
+        return PlaceOutcome::NoRoom;
+    }
+    tasks.resize(std::min(tasks.size(), allowance.tasks));
     const ClaimKey claimKey{candidate.job->spec.id, candidate.occurrence, candidate.step};
     const auto claim = m_claims.find(claimKey);
     if (claim != m_claims.end()) {
@@ -550,7 +561,6 @@
         m_fullNeeds.clear();
     }
     const std::size_t waitingBefore = tasks.size();
-    const bool gang = candidate.job->spec.steps[candidate.step].gang;
     std::vector<std::size_t> entries;
     if (claim != m_claims.end() && gang && !tasks.empty()) {
         entries = placeOnClaim(claim->second, board);
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -75,6 +75,7 @@
             heap.pop_back();
             BoardEntry &entry = board.entries()[best];
             entry.room = minus(entry.room, m_need.perTask);
+            ++entry.runs;
             if (m_need.maximumPerWorker > 0) {
                 ++m_need.placedTasks[entry.worker->report.id];
             }
@@ -92,6 +93,7 @@
 
     std::size_t limitSlots(const BoardEntry &entry, std::size_t slots) const
     {
+        slots = std::min(slots, m_need.maximumRunsPerWorker - std::min(m_need.maximumRunsPerWorker, entry.runs));
         if (m_need.maximumPerWorker == 0) {
             return slots;
         }
@@ -198,7 +200,8 @@
         const std::size_t rack = m_racks.try_emplace(worker.report.rack, m_racks.size()).first->second;
         const bool usable = takesWork(worker) && silent.count(worker.report.dataCentre) == 0;
         const bool avoided = usable && worker.avoidedUntil > now;
-        m_entries.push_back({&worker, WorkerTable::freeCapacity(worker), rack, usable && !avoided, avoided});
+        m_entries.push_back(
+            {&worker, WorkerTable::freeCapacity(worker), worker.runs.size(), rack, usable && !avoided, avoided});
     }
 }
 
--- a/lib/Workflow/WorkerTable.cpp
+++ b/lib/Workflow/WorkerTable.cpp
@@ -48,6 +48,7 @@
     worker.used = plus(worker.used, run.resources);
     const auto [added, isNew] = worker.runs.emplace(key, std::move(run));
     assert(isNew && "the worker has a run with this key already");
+    ++m_runCount;
     ++m_runsOfSteps[stepOf(key.first)][worker.report.id];
     return added->second;
 }
@@ -60,6 +61,7 @@
     }
     worker.used = minus(worker.used, found->second.resources);
     worker.runs.erase(found);
+    --m_runCount;
     const auto ofStep = m_runsOfSteps.find(stepOf(key.first));
     const auto here = ofStep->second.find(worker.report.id);
     if (--here->second == 0) {
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -160,6 +160,24 @@
     EXPECT_EQ(m_harness.engine->takeBatch(ChangeLimits()).starts.size(), 1500U);
 }
 
+// Guards against an owner that runs out of memory because tasks that need next to nothing are all assigned, and against
+// such tasks that keep all other jobs from starting.
+TEST_F(PlanningLoad, tinyTasksAreLimitedAndLeaveRoomToOtherJobs)
+{
+    StepSpec tiny = stepOf(2000, 0, 0);
+    tiny.perTask = {};
+    for (int i = 0; i < 20; ++i) {
+        m_harness.submit(m_harness.job("tiny" + std::to_string(i), 1, {tiny}), {.work = minutes(5)});
+    }
+    m_harness.runFor(seconds(5));
+    EXPECT_LE(m_harness.engine->workers().runCount(), 10000U + 20U * 16U);
+    EXPECT_GE(m_harness.engine->workers().runCount(), 10000U);
+    for (const auto &[id, worker] : m_harness.engine->workers().all()) {
+        EXPECT_LE(worker.runs.size(), 2000U);
+    }
+    expectOrdinaryJobIsDone("ordinary");
+}
+
 // Guards against one job whose rows fill each change of the store, so that those of other jobs are not stored.
 TEST_F(PlanningLoad, rowsOfOneJobDoNotKeepOutThoseOfOthers)
 {
