Decision: each task that lasts gives up its data rack by itself

Cause: a step gives up its data rack only while no task of its job runs, which for tasks that last is never so.

Evidence: Preference.eachTaskThatLastsRunsOutsideOfItsRackIfNeedBe failed before, with 2 of 3 tasks at work.

--- a/include/corianderscale/Decision/PlacementPreference.h
+++ b/include/corianderscale/Decision/PlacementPreference.h
@@ -8,6 +8,8 @@
 struct PlacementWait {
     /** How long the step has waited for room. */
     Duration waited{};
+    /** Whether the tasks last until their job is cancelled. */
+    bool lasts = false;
     /** Whether other tasks of the job run meanwhile. */
     bool jobRuns = false;
     /** Share of the pool that is in use, from 0 to 1, in the resource that the step needs most of. */
@@ -16,8 +18,9 @@
 
 /**
  * Whether a step may start on workers that it does not prefer: outside of its rack, where its tasks take several times
- * as long, or on workers that are avoided, because their runs fail or are slow. It waits for better ones while the pool
- * is busy; but a job must not stand still for long beside idle workers, because what fills the rack may last, and the
+ * as long, on workers that are avoided, because their runs fail or are slow, or on workers that are kept free for
+ * others. It waits for better ones while the pool is busy; but a job must not stand still for long beside idle workers,
+ * because what fills the rack may last, and the
  * failures may be the job's own.
  *
  * Load patterns: a pool with room almost everywhere, and one rack full of work that does not end soon; a job whose
--- a/lib/Decision/PlacementPreference.cpp
+++ b/lib/Decision/PlacementPreference.cpp
@@ -13,7 +13,8 @@
 
 bool endsPreferences(const PlacementWait &wait)
 {
-    return !wait.jobRuns && wait.waited >= MaximumWait && wait.usedShare < IdleShare;
+    // Each task that lasts serves users of its own, so neither other tasks nor a busy pool are a reason to wait.
+    return wait.waited >= MaximumWait && (wait.lasts || (!wait.jobRuns && wait.usedShare < IdleShare));
 }
 
 } // namespace coriander::decision
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -372,10 +372,13 @@
 bool JobEngine::endsPreferences(const Candidate &candidate, MonotonicTime now)
 {
     const std::optional<MonotonicTime> since = waitingSince(candidate);
-    const bool accelerators = candidate.job->spec.steps[candidate.step].perTask.accelerators.count() > 0;
+    const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    const bool accelerators = step.perTask.accelerators.count() > 0;
     return since
-        && decision::endsPreferences(
-               {now - *since, candidate.job->assignedCount() > 0, usedShare(candidate.policy->service, accelerators)});
+        && decision::endsPreferences({now - *since,
+                                      step.longRunning,
+                                      candidate.job->assignedCount() > 0,
+                                      usedShare(candidate.policy->service, accelerators)});
 }
 
 PlacementNeed JobEngine::needOf(const Candidate &candidate, const std::vector<std::size_t> &tasks, MonotonicTime now)
--- /dev/null
+++ b/unittests/Workflow/PreferenceTest.cpp
@@ -0,0 +1,52 @@
+#include "Workflow/EngineHarness.h"
+
+namespace coriander::workflow {
+namespace {
+
+using std::chrono::seconds;
+
+/** Steps that prefer some workers, or for which workers are kept free. Racks have three workers each. */
+class Preference : public ::testing::Test
+{
+protected:
+    Preference()
+    {
+        m_harness.addWorkers(9);
+        m_harness.startOwner();
+        m_harness.runFor(seconds(1));
+    }
+
+    std::size_t startsOf(const std::string &job, std::size_t index = 0) const
+    {
+        return m_harness.workers.starts({JobId(job), 0, 0, index});
+    }
+
+    WorkerId workerOf(const std::string &job, std::size_t index) const
+    {
+        const Task *task = m_harness.engine->job(JobId(job))->task({JobId(job), 0, 0, index});
+        return task == nullptr ? WorkerId() : task->worker;
+    }
+
+    EngineHarness m_harness;
+};
+
+// Guards against a task that lasts and is not started again outside of its data rack, because other tasks of its job
+// run.
+TEST_F(Preference, eachTaskThatLastsRunsOutsideOfItsRackIfNeedBe)
+{
+    StepSpec step = stepOf(3, 32, 8);
+    step.longRunning = true;
+    step.dataRack = RackId("r0");
+    m_harness.submit(m_harness.job("lasting", 1, {step}), {.lasts = true});
+    m_harness.runFor(seconds(2));
+    ASSERT_EQ(m_harness.workers.runningTasks(), 3U);
+    const WorkerId leaving = workerOf("lasting", 1);
+    m_harness.workers.machines().at(leaving).report.draining = true;
+    m_harness.workers.machines().at(leaving).report.minimumTimeToLeave = seconds(4);
+    m_harness.report(leaving);
+    m_harness.runFor(seconds(6));
+    EXPECT_EQ(m_harness.workers.runningTasks(), 3U);
+}
+
+} // namespace
+} // namespace coriander::workflow
