Workflow: room freed for a step is used, wherever it is

What callers saw: a job of priority 0 within its guarantee, with a data rack, does not begin in a pool full of priority 2.

Cause: preemption chose the cheapest runs of any rack, and placing a step that is not a gang looked at the data rack only.

Fix: preemption tries the data rack first; a step with a claim may be placed on all workers.

Evidence: Preference.guaranteedJobWithADataRackBeginsInAFullPool and .guaranteedJobBeginsOutsideOfAnUrgentDataRack failed before.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -435,6 +435,11 @@
     std::set<JobId> guaranteedJobs() const;
     UrgentReserve::Demand urgentDemand() const;
     bool isWorthPreempting(const Candidate &candidate, const ReclaimPlan &plan, const PlacementBoard &board) const;
+    /** The cheapest runs to stop for the candidate's step, if that is worth it. */
+    std::optional<ReclaimPlan> findReclaim(const Candidate &candidate,
+                                           const PlacementNeed &need,
+                                           const PlacementBoard &board,
+                                           MonotonicTime now);
     /** Stops runs that make room for the candidate's step; returns whether it did. */
     bool reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now);
     /** Cost of stopping the run, in core equivalents times seconds of lost run time; no value if the run must not be
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -23,6 +23,8 @@
     /** Whether the tasks may start outside of the rack that they prefer, and on workers that are avoided, see
      * decision::endsPreferences(). */
     bool preferencesEnd = false;
+    /** Whether only workers in the data rack may be used. */
+    bool onlyDataRack = false;
     /** Whether the tasks may use reserved workers; if so, reserved workers are preferred. */
     bool urgent = false;
     /** Whether workers whose last run failed are excluded. */
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -391,7 +391,10 @@
     need.requiredLabel = step.requiredLabel;
     need.dataRack = step.dataRack;
     need.sameRack = step.gang && step.sameRack;
-    need.preferencesEnd = endsPreferences(candidate, now);
+    // Room that was freed for the step may be on any worker.
+    const bool hasClaim
+        = !step.gang && m_claims.count({candidate.job->spec.id, candidate.occurrence, candidate.step}) > 0;
+    need.preferencesEnd = hasClaim || endsPreferences(candidate, now);
     need.urgent = candidate.policy->priority == 0;
     need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
     need.preferSlow = !need.urgent && unevenSpeeds(need.service) != nullptr && canRunOnSlowWorkers(candidate, now);
--- a/lib/Workflow/JobEngineReclaim.cpp
+++ b/lib/Workflow/JobEngineReclaim.cpp
@@ -166,15 +166,35 @@
     });
 }
 
-bool JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
+std::optional<ReclaimPlan> JobEngine::findReclaim(const Candidate &candidate,
+                                                  const PlacementNeed &need,
+                                                  const PlacementBoard &board,
+                                                  MonotonicTime now)
 {
     m_planningBudget.spend(board.entries().size() * ReclaimWorkPerWorker);
-    const std::optional<ReclaimPlan> plan
-        = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
-              return victimCost(run, candidate, now);
-          });
+    std::optional<ReclaimPlan> plan = planReclaim(board, need, [this, &candidate, now](const Worker &, const Run &run) {
+        return victimCost(run, candidate, now);
+    });
     const bool mustBegin = candidate.guaranteed && need.minimumSpeed == 0;
-    if (!plan || (!mustBegin && !isWorthPreempting(candidate, *plan, board))) {
+    if (plan && !mustBegin && !isWorthPreempting(candidate, *plan, board)) {
+        plan.reset();
+    }
+    return plan;
+}
+
+bool JobEngine::reclaim(const Candidate &candidate, const PlacementNeed &need, PlacementBoard &board, MonotonicTime now)
+{
+    std::optional<ReclaimPlan> plan;
+    if (!need.dataRack.empty()) {
+        // The tasks take several times as long elsewhere.
+        PlacementNeed inDataRack = need;
+        inDataRack.onlyDataRack = true;
+        plan = findReclaim(candidate, inDataRack, board, now);
+    }
+    if (!plan) {
+        plan = findReclaim(candidate, need, board, now);
+    }
+    if (!plan) {
         return false;
     }
     for (const auto &[worker, key] : plan->victims) {
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -104,8 +104,8 @@
 
     /**
      * Sort key of an entry, the smallest is best: workers away from the data and workers to avoid come last, urgent
-     * work prefers reserved workers, work that can wait prefers slow ones, then workers with the least room left after
-     * the task come first, compared by accelerators, cores and memory.
+     * work prefers reserved workers, work that can wait prefers slow ones, then
+     * workers with the least room left after the task come first, compared by accelerators, cores and memory.
      */
     SortKey sortKey(const BoardEntry &entry) const
     {
@@ -229,7 +229,9 @@
         const bool approved = !need.approved || need.approved->count(report.id) > 0;
         const bool unproven = need.requireProven && !m_entries[i].proven;
         const bool tooSlow = m_entries[i].speed < need.minimumSpeed;
-        if (report.service != need.service || failing || lacksCompletedRun || unproven || !approved || tooSlow) {
+        const bool away = need.onlyDataRack && report.rack != need.dataRack;
+        if (report.service != need.service || failing || lacksCompletedRun || unproven || !approved || tooSlow
+            || away) {
             continue;
         }
         const std::vector<std::string> &labels = report.labels;
--- a/unittests/Workflow/PreferenceTest.cpp
+++ b/unittests/Workflow/PreferenceTest.cpp
@@ -48,5 +48,40 @@
     EXPECT_EQ(m_harness.workers.runningTasks(), 3U);
 }
 
+// Guards against room that is freed for a guaranteed job on a worker where it is not placed, so that it never begins.
+TEST_F(Preference, guaranteedJobWithADataRackBeginsInAFullPool)
+{
+    m_harness.submit(m_harness.job("bulk", 2, {stepOf(9, 1, 8)}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    StepSpec step = stepOf(2, 1, 8);
+    step.dataRack = RackId("r1");
+    m_harness.submit(m_harness.job("urgent", 0, {step}), {.work = seconds(60)});
+    m_harness.runFor(milliseconds(2900));
+    EXPECT_EQ(startsOf("urgent", 0), 1U);
+    EXPECT_EQ(startsOf("urgent", 1), 1U);
+    for (std::size_t i = 0; i < 2; ++i) {
+        EXPECT_EQ(m_harness.workers.machines().at(workerOf("urgent", i)).report.rack, RackId("r1"));
+    }
+    EXPECT_EQ(m_harness.workers.stopped, 2U);
+}
+
+// The same where only workers of other racks can make room.
+TEST_F(Preference, guaranteedJobBeginsOutsideOfAnUrgentDataRack)
+{
+    StepSpec urgent = stepOf(3, 1, 8);
+    urgent.dataRack = RackId("r1");
+    m_harness.submit(m_harness.job("first", 0, {urgent}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    m_harness.submit(m_harness.job("bulk", 2, {stepOf(6, 1, 8)}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    ASSERT_EQ(m_harness.workers.runningTasks(), 9U);
+    StepSpec step = stepOf(2, 1, 8);
+    step.dataRack = RackId("r1");
+    m_harness.submit(m_harness.job("second", 0, {step}), {.work = seconds(60)});
+    m_harness.runFor(milliseconds(2900));
+    EXPECT_EQ(startsOf("second", 0), 1U);
+    EXPECT_EQ(startsOf("second", 1), 1U);
+}
+
 } // namespace
 } // namespace coriander::workflow
