Workflow: workers reserved for a gang serve a job that stands still

What callers saw: a gang finds no room for long, because each worker runs a small task.

Cause: reserveForGang() reserves the same workers in each pass until the gang counts as late, and work that is not urgent left reserved workers alone.

Fix: a step that stands still for 2 s in an idle pool may use reserved workers, as it may use avoided ones.

--- a/include/corianderscale/Decision/PlacementPreference.h
+++ b/include/corianderscale/Decision/PlacementPreference.h
@@ -20,11 +20,10 @@
  * Whether a step may start on workers that it does not prefer: outside of its rack, where its tasks take several times
  * as long, on workers that are avoided, because their runs fail or are slow, or on workers that are kept free for
  * others. It waits for better ones while the pool is busy; but a job must not stand still for long beside idle workers,
- * because what fills the rack may last, and the
- * failures may be the job's own.
+ * because what fills the rack may last, the failures may be the job's own, and the others may not find room at all.
  *
  * Load patterns: a pool with room almost everywhere, and one rack full of work that does not end soon; a job whose
- * tasks fail on each worker that has room for them.
+ * tasks fail on each worker that has room for them; a gang for which each worker is kept free that some task uses.
  *
  * Thread safety: pure.
  */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -20,8 +20,8 @@
     /** Rack that stores the step's data; empty if there is none. */
     RackId dataRack;
     bool sameRack = false;
-    /** Whether the tasks may start outside of the rack that they prefer, and on workers that are avoided, see
-     * decision::endsPreferences(). */
+    /** Whether the tasks may start outside of the rack that they prefer, and on workers that are avoided or reserved,
+     * see decision::endsPreferences(). */
     bool preferencesEnd = false;
     /** Whether only workers in the data rack may be used. */
     bool onlyDataRack = false;
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -38,7 +38,7 @@
     {
         const BoardEntry &entry = m_board.entries()[index];
         const bool open = entry.open || (entry.avoided && m_need.preferencesEnd);
-        return open && (m_need.urgent || !entry.reserved);
+        return open && (m_need.urgent || m_need.preferencesEnd || !entry.reserved);
     }
 
     std::size_t slots(std::size_t index) const
@@ -104,7 +104,7 @@
 
     /**
      * Sort key of an entry, the smallest is best: workers away from the data and workers to avoid come last, urgent
-     * work prefers reserved workers, work that can wait prefers slow ones, then
+     * work prefers reserved workers and other work those that are not, work that can wait prefers slow ones, then
      * workers with the least room left after the task come first, compared by accelerators, cores and memory.
      */
     SortKey sortKey(const BoardEntry &entry) const
@@ -112,11 +112,11 @@
         const bool avoided = entry.avoided || entry.worker->failuresInRow > 0
             || (!m_need.avoid.empty() && m_need.avoid.count(entry.worker->report.id) > 0);
         const decision::Resources left = minus(entry.room, m_need.perTask);
-        const bool unreserved = m_need.urgent && !entry.reserved;
+        const bool meantForOthers = m_need.urgent ? !entry.reserved : entry.reserved;
         const bool away = !m_need.dataRack.empty() && entry.worker->report.rack != m_need.dataRack;
         return {away,
                 avoided,
-                unreserved,
+                meantForOthers,
                 speedRank(entry),
                 left.accelerators.count(),
                 left.cores.count(),
--- a/unittests/Workflow/PreferenceTest.cpp
+++ b/unittests/Workflow/PreferenceTest.cpp
@@ -83,5 +83,29 @@
     EXPECT_EQ(startsOf("second", 1), 1U);
 }
 
+// Guards against workers that stay idle, reserved for a gang that finds no room, while a job needs them.
+TEST_F(Preference, workersReservedForAGangServeAJobThatStandsStill)
+{
+    for (const char *id : {"w0", "w1"}) {
+        m_harness.workers.machines().at(WorkerId(id)).report.labels.push_back("b");
+        m_harness.report(WorkerId(id));
+    }
+    StepSpec spread = stepOf(9, 1, 1);
+    spread.maximumPerWorker = 1;
+    m_harness.submit(m_harness.job("spread", 1, {spread}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    StepSpec gang = stepOf(2, 1, 8);
+    gang.gang = true;
+    gang.estimate = seconds(100);
+    m_harness.submit(m_harness.job("gang", 1, {gang}), {.work = seconds(60)});
+    m_harness.runFor(seconds(1));
+    StepSpec small = stepOf(1, 1, 0);
+    small.requiredLabel = "b";
+    m_harness.submit(m_harness.job("small", 2, {small}), {.work = seconds(60)});
+    m_harness.runFor(milliseconds(2900));
+    EXPECT_EQ(startsOf("small"), 1U);
+    EXPECT_EQ(startsOf("gang"), 0U);
+}
+
 } // namespace
 } // namespace coriander::workflow
