Workflow: refuse further jobs while the open ones take all memory that an owner may need

Limits held for one request and for one job, but nothing bounded the open jobs of all callers together, so thousands of jobs of legal size could run each owner in turn out of memory.

The owner counts the memory of its open jobs (decision::JobBacklog, 24 MiB; ordinary jobs take some 1 kB, and the deployments have fewer than 1,000 open) and says in the row of the term, which all instances read, that it is full.

Tests: JobBacklog.*, RecurringJob.backlogCountsTheMemoryOfOpenJobs, Chain.allInstancesLearnWhetherTheBacklogIsFull, Callers.fullBacklogTakesNoFurtherJobs, TermRecords.tellWhetherTheBacklogIsFull.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "corianderscale/Decision/FailureWave.h"
+#include "corianderscale/Decision/JobBacklog.h"
 #include "corianderscale/Decision/PlanningBudget.h"
 #include "corianderscale/Decision/PoolCapacity.h"
 #include "corianderscale/Decision/WorkerSpeed.h"
@@ -87,6 +88,8 @@
     Duration refusalAvoidTime = std::chrono::seconds(2);
     /** Work of one part of a planning pass, see decision::PlanningBudget. */
     std::size_t planningWork = decision::PlanningBudget::MaximumWork;
+    /** Memory of open jobs from which on entry VMs refuse further ones, see decision::JobBacklog. */
+    std::size_t backlogBytes = decision::JobBacklog::MaximumBytes;
 };
 
 /** Counts of events since the term began. */
@@ -225,6 +228,10 @@
     const WorkerTable &workers() const;
     const Job *job(const JobId &id) const;
     std::size_t jobCount() const;
+    const decision::JobBacklog &backlog() const
+    {
+        return m_backlog;
+    }
     const EngineCounts &counts() const;
     /** Number of workers whose learned speed is below decision::SlowSpeed. */
     std::size_t slowWorkers() const;
@@ -283,6 +290,8 @@
     static std::optional<int> maximumAttempts(const Job &job);
     /** Takes over the policy that the configuration has for the job's queue; keeps the last one if it has none. */
     void updatePolicy(Job &job);
+    /** Adds the memory of a job to the backlog, or takes it off; logs when the backlog becomes full or no longer is. */
+    void countInBacklog(const Job &job, bool added);
     /** Logs the queues of open jobs that are not configured. */
     void logMissingQueues() const;
     /** Fails the job if a task that waits has no attempts left, which may become known only when its queue is back. */
@@ -505,6 +514,7 @@
     Epoch m_epoch;
     WorkerOrders &m_orders;
     std::function<void()> m_requestStorage;
+    decision::JobBacklog m_backlog;
     AdviceCache m_advice;
     std::shared_ptr<const Catalogue> m_catalogue;
     std::map<JobId, Job> m_jobs;
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -129,6 +129,12 @@
     /** Occurrences that changed since their rows were stored. */
     std::set<std::size_t> dirtyOccurrences;
 
+    /** Memory that the job takes while it waits, as counted for the backlog. */
+    std::size_t backlogBytes() const
+    {
+        return m_backlogBytes;
+    }
+
     /** @name Progress; the occurrence, step and task must be the job's, see has() */
     ///@{
     /** Number of occurrences, 1 for a job that runs once. */
@@ -195,6 +201,7 @@
     void updateStep(const StepIndex &index);
     void markStepDone(const StepIndex &index);
 
+    std::size_t m_backlogBytes;
     std::map<StepIndex, StepTasks> m_openSteps;
     /** By step: the occurrences in which the step is done, and those in which none of its tasks waits. */
     std::vector<boost::dynamic_bitset<>> m_doneSteps;
--- a/include/corianderscale/Workflow/NodeDaemon.h
+++ b/include/corianderscale/Workflow/NodeDaemon.h
@@ -75,6 +75,8 @@
     /** The configuration in force; null until one was read. */
     virtual const Catalogue *catalogue() const = 0;
     virtual JobIntake &intake() = 0;
+    /** Whether the owner can hold no more open jobs. */
+    virtual bool backlogFull() const = 0;
     /** Serves a call here or through another instance. */
     virtual void route(const CallerCall &call, CallDone done) = 0;
     /** Counts an answered call and logs it if it failed; @p subject is the job id or the path of the call. */
--- a/include/corianderscale/Workflow/OwnerController.h
+++ b/include/corianderscale/Workflow/OwnerController.h
@@ -79,6 +79,8 @@
     /** The engine while this instance owns the term and has restored the stored state, else null. */
     const JobEngine *engine() const;
     std::optional<Epoch> epoch() const;
+    /** See TermChain::backlogFull(). */
+    bool backlogFull() const;
 
 private:
     void startTerm(Epoch epoch);
--- a/include/corianderscale/Workflow/Records.h
+++ b/include/corianderscale/Workflow/Records.h
@@ -47,6 +47,8 @@
     Epoch epoch;
     /** Incremented by each write of a term, so that an owner recognises its own writes. */
     std::int64_t sequence = 0;
+    /** Whether the owner has as many open jobs as it can hold, see decision::JobBacklog. */
+    bool backlogFull = false;
 };
 
 /** Where an instance takes calls from other instances. */
--- a/include/corianderscale/Workflow/TermChain.h
+++ b/include/corianderscale/Workflow/TermChain.h
@@ -69,6 +69,9 @@
         std::function<void(MonotonicTime sentAt)> confirmed;
         /** Returns whether this instance may take the term. */
         std::function<bool()> mayTake;
+        /** Returns whether the backlog of the owner is full, which its writes tell the others; no value while the
+         * owner does not know its jobs. May be empty. */
+        std::function<std::optional<bool>()> backlogFull;
     };
 
     /** @p instance has the form `node/process`. A term that an earlier process of the same node owns is taken like a
@@ -98,6 +101,9 @@
     /** The epoch of the term if this instance owns it. */
     std::optional<Epoch> owned() const;
 
+    /** Whether the backlog of the owner is full, as of its latest write that is known here. */
+    bool backlogFull() const;
+
     /** Whether a release was requested and its write is not confirmed yet. */
     bool releasing() const;
 
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -55,6 +55,7 @@
     , m_epoch(epoch)
     , m_orders(orders)
     , m_requestStorage(std::move(requestStorage))
+    , m_backlog(times.backlogBytes)
     , m_advice(m_clock, [this] { m_planWanted = true; })
     , m_startedAt(m_clock.now())
     , m_termConfirmedAt(m_startedAt)
@@ -92,6 +93,21 @@
     m_dirtyJobs.insert(job.spec.id);
 }
 
+void JobEngine::countInBacklog(const Job &job, bool added)
+{
+    const bool wasFull = m_backlog.isFull();
+    if (added) {
+        m_backlog.add(job.backlogBytes());
+    } else {
+        m_backlog.remove(job.backlogBytes());
+    }
+    if (m_backlog.isFull() != wasFull) {
+        logEvent(wasFull ? LogLevel::Info : LogLevel::Warning,
+                 wasFull ? "backlog-accepting" : "backlog-full",
+                 {{"jobs", m_jobs.size()}, {"bytes", m_backlog.bytes()}, {"limit", m_times.backlogBytes}});
+    }
+}
+
 void JobEngine::logMissingQueues() const
 {
     // By queue: the number of open jobs, and of those among them that have no policy to run by.
@@ -233,6 +249,7 @@
     if (!added) {
         return;
     }
+    countInBacklog(entry->second, true);
     updatePolicy(entry->second);
     const JobSpec &job = entry->second.spec;
     logEvent(LogLevel::Info,
@@ -404,6 +421,7 @@
     }
     m_endedJobs[id] = m_clock.now();
     m_advice.forget(id);
+    countInBacklog(job, false);
     m_jobs.erase(id);
     return true;
 }
--- a/lib/Workflow/JobIntake.cpp
+++ b/lib/Workflow/JobIntake.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t MaximumTasks = 2000;
 constexpr std::size_t MaximumPayloadBytes = 4000;
 constexpr std::size_t MaximumOccurrences = 1000;
+/** Time after which a refused job is handed in again; a backlog takes longer to get smaller than a fault of the store.
+ */
+constexpr Duration BacklogRetryAfter = std::chrono::seconds(5);
 
 CallAnswer noSuchJob()
 {
@@ -203,6 +206,20 @@
     send(write);
 }
 
+void JobIntake::refuseUnlessKnown(const JobId &job, MonotonicTime deadline, CallDone done)
+{
+    show(job, deadline, [done = std::move(done)](const CallAnswer &shown) {
+        if (shown.outcome == CallOutcome::NoSuchJob) {
+            done({CallOutcome::Refused, "too many jobs have not ended", BacklogRetryAfter, {}, {}});
+        } else if (shown.outcome == CallOutcome::Done) {
+            done({CallOutcome::Done, "it is known already", {}, {}, {}});
+        } else {
+            // An earlier submission of the job may have been stored.
+            done({CallOutcome::Unclear, shown.reason, {}, {}, {}});
+        }
+    });
+}
+
 void JobIntake::storeAsCancelled(const JobSpec &job, RowVersion withdrawn, MonotonicTime deadline, CallDone done)
 {
     const auto write = makeWrite("withdrawn-job-submitted", job.id, deadline, std::move(done));
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -27,6 +27,19 @@
     }
 }
 
+/** Memory that a specification takes beside its own size. */
+std::size_t specBytes(const JobSpec &spec)
+{
+    std::size_t bytes = spec.id.value().size() + spec.queue.value().size() + spec.payload.size();
+    for (const StepSpec &step : spec.steps) {
+        bytes += sizeof(StepSpec) + step.after.size() * sizeof(std::size_t) + step.requiredLabel.size()
+            + step.dataRack.value().size() + step.image.value().size();
+        // Bits for each occurrence: whether the step is done, and whether it is busy.
+        bytes += 2 * (sizeof(boost::dynamic_bitset<>) + spec.occurrences / 8);
+    }
+    return bytes;
+}
+
 /** The members of @p set below @p end. */
 boost::dynamic_bitset<> below(boost::dynamic_bitset<> set, std::size_t end)
 {
@@ -111,6 +124,7 @@
 Job::Job(JobSpec jobSpec, MonotonicTime now)
     : spec(std::move(jobSpec))
     , learntAt(now)
+    , m_backlogBytes(sizeof(Job) + specBytes(spec))
     , m_doneSteps(spec.steps.size())
     , m_busySteps(spec.steps.size())
 {
--- a/lib/Workflow/NodeDaemon.cpp
+++ b/lib/Workflow/NodeDaemon.cpp
@@ -141,6 +141,11 @@
         return m_intake;
     }
 
+    bool backlogFull() const override
+    {
+        return m_owner.backlogFull();
+    }
+
     void route(const CallerCall &call, CallDone done) override
     {
         m_router.route(call, std::move(done));
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -105,6 +105,9 @@
         for (const auto &[kind, count] : counts.ended) {
             m_runs.Add({{"event", endKindName(kind)}}).Set(static_cast<double>(count));
         }
+        setGauge("coriander_backlog_bytes",
+                 "Memory of open jobs, as counted against the limit of the backlog",
+                 static_cast<double>(readings.engine->backlog().bytes()));
         setGauge("coriander_planning_continued",
                  "Planning passes since this owner's term began that were too long to be done in one go",
                  static_cast<double>(counts.planningContinued));
--- a/lib/Workflow/OwnerController.cpp
+++ b/lib/Workflow/OwnerController.cpp
@@ -75,8 +75,10 @@
                    }
                },
                /*mayTake=*/
-               [this] {
-                   return m_catalogue != nullptr;
+               [this] { return m_catalogue != nullptr; },
+               /*backlogFull=*/
+               [this]() -> std::optional<bool> {
+                   return m_engine && m_restored ? std::optional(m_engine->backlog().isFull()) : std::nullopt;
                }})
 {
 }
@@ -128,6 +130,11 @@
     return m_chain.owned();
 }
 
+bool OwnerController::backlogFull() const
+{
+    return m_chain.backlogFull();
+}
+
 void OwnerController::startTerm(Epoch epoch)
 {
     m_engine = std::make_unique<JobEngine>(m_times.engine, m_clock, epoch, m_orders, [this] { m_chain.step(); });
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -312,7 +312,10 @@
 
 std::string encodeTerm(const TermRecord &record)
 {
-    const Json term = {{"h", record.holder.value()}, {"e", record.epoch.count()}, {"n", record.sequence}};
+    Json term = {{"h", record.holder.value()}, {"e", record.epoch.count()}, {"n", record.sequence}};
+    if (record.backlogFull) {
+        term["b"] = true;
+    }
     return toBytes({{RowFormatKey, term}});
 }
 
@@ -326,6 +329,7 @@
             record.holder = InstanceId(value.at("h").get<std::string>());
             record.epoch = Epoch(value.at("e").get<std::int64_t>());
             record.sequence = value.at("n").get<std::int64_t>();
+            record.backlogFull = value.value("b", false);
             return record;
         },
         error);
--- a/lib/Workflow/TermChain.cpp
+++ b/lib/Workflow/TermChain.cpp
@@ -57,6 +57,11 @@
     return m_role == Role::Releasing || (m_releaseWanted && m_role == Role::Owner);
 }
 
+bool TermChain::backlogFull() const
+{
+    return m_record.backlogFull;
+}
+
 void TermChain::release(const std::string &reason)
 {
     m_paused = true;
@@ -223,10 +228,13 @@
     m_writtenRecord = m_record;
     ++m_writtenRecord.sequence;
     if (m_role == Role::Taking) {
-        m_writtenRecord = {m_instance, m_record.epoch + Epoch(1), 1};
+        m_writtenRecord = {m_instance, m_record.epoch + Epoch(1), 1, m_record.backlogFull};
     } else if (m_role == Role::Releasing) {
         m_writtenRecord.holder = InstanceId();
     }
+    if (m_role == Role::Owner && m_hooks.backlogFull) {
+        m_writtenRecord.backlogFull = m_hooks.backlogFull().value_or(m_record.backlogFull);
+    }
     change.expected.push_back({OwnerTable, OwnerKey, m_version});
     change.written.push_back({OwnerTable, OwnerKey, encodeTerm(m_writtenRecord), {}, false});
     m_write = std::move(change);
--- a/unittests/Platform/CallerRoutesTest.cpp
+++ b/unittests/Platform/CallerRoutesTest.cpp
@@ -43,6 +43,11 @@
         return &m_catalogue;
     }
 
+    bool backlogFull() const override
+    {
+        return isBacklogFull;
+    }
+
     JobIntake &intake() override
     {
         return m_intake;
@@ -72,6 +77,7 @@
     }
 
     CallerServer *server = nullptr;
+    bool isBacklogFull = false;
 
 private:
     Timeline m_timeline;
@@ -138,6 +144,21 @@
     return values;
 }
 
+// Guards against a full backlog that grows on, and against the refusal of a job that was accepted before.
+TEST_F(Callers, fullBacklogTakesNoFurtherJobs)
+{
+    const std::string body = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})";
+    ASSERT_EQ(call("POST", "/x/5c0e7a21d94b36f8", body).status, 200);
+    m_node.isBacklogFull = true;
+    EXPECT_EQ(call("POST", "/x/5c0e7a21d94b36f8", body).status, 200);
+    const HttpResponse refused = call("POST", "/x/5c0e7a21d94b36f9", body);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.header("Retry-After"), "5");
+    EXPECT_EQ(m_node.store().find(JobsTable, "5c0e7a21d94b36f9"), nullptr);
+    m_node.isBacklogFull = false;
+    EXPECT_EQ(call("POST", "/x/5c0e7a21d94b36f9", body).status, 200);
+}
+
 // Guards against accepted jobs that no later owner can run once their queue is removed.
 TEST_F(Callers, acceptedJobIsStoredWithThePolicyOfItsQueue)
 {
--- a/unittests/Workflow/RecordsTest.cpp
+++ b/unittests/Workflow/RecordsTest.cpp
@@ -106,6 +106,16 @@
     }
 }
 
+// Guards against instances that do not learn that the owner can hold no more jobs.
+TEST(TermRecords, tellWhetherTheBacklogIsFull)
+{
+    ProtocolError error;
+    TermRecord term{InstanceId("a/1"), Epoch(3), 5};
+    EXPECT_FALSE(decodeTerm(encodeTerm(term), error)->backlogFull);
+    term.backlogFull = true;
+    EXPECT_TRUE(decodeTerm(encodeTerm(term), error)->backlogFull);
+}
+
 // Guards against progress that is restored into a job of another shape.
 TEST(OccurrenceRecords, otherNumbersOfStepsOrTasksAreRefused)
 {
--- a/unittests/Workflow/RecurringJobTest.cpp
+++ b/unittests/Workflow/RecurringJobTest.cpp
@@ -142,5 +142,26 @@
     }
 }
 
+// Guards against a number of open jobs that no owner can hold: what counts as backlog covers the memory that jobs take.
+TEST_F(RecurringJob, backlogCountsTheMemoryOfOpenJobs)
+{
+    const std::size_t before = allocatedBytes();
+    std::vector<JobSpec> specs;
+    for (int i = 0; !m_harness.engine->backlog().isFull() && i < 100000; ++i) {
+        JobSpec spec = recurring("j" + std::to_string(i), 1 + i % 64, 1, hours(1), hours(1));
+        spec.payload = std::string(static_cast<std::size_t>(i * 37 % 4000), 'p');
+        specs.push_back(spec);
+        add(spec);
+    }
+    EXPECT_TRUE(m_harness.engine->backlog().isFull());
+    specs.clear();
+    EXPECT_LT(allocatedBytes(), before + 2 * decision::JobBacklog::MaximumBytes);
+    for (int i = 0; i < 100000 && m_harness.engine->backlog().isFull(); ++i) {
+        m_harness.engine->cancelJob(JobId("j" + std::to_string(i)));
+        m_harness.engine->takeBatch(ChangeLimits());
+    }
+    EXPECT_FALSE(m_harness.engine->backlog().isFull());
+}
+
 } // namespace
 } // namespace coriander::workflow
--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -33,6 +33,9 @@
                    [](MonotonicTime) {},
                    [] {
                        return true;
+                   },
+                   [this] {
+                       return backlogFull;
                    }})
     {
     }
@@ -46,6 +49,8 @@
     bool writes = true;
     bool paused = false;
     std::int64_t written = 0;
+    /** No value while the instance does not know the jobs. */
+    std::optional<bool> backlogFull;
 
 private:
     std::optional<std::int64_t> m_writing;
@@ -184,6 +189,27 @@
     EXPECT_FALSE(first.chain().owned());
 }
 
+// Guards against instances that go on accepting jobs although the owner can hold no more, and against a new owner that
+// accepts them until it knows its jobs.
+TEST_F(Chain, allInstancesLearnWhetherTheBacklogIsFull)
+{
+    Instance &first = add("a/1");
+    m_timeline.runFor(seconds(2));
+    Instance &second = add("b/1");
+    first.backlogFull = true;
+    m_timeline.runFor(seconds(1));
+    EXPECT_TRUE(first.chain().backlogFull());
+    EXPECT_TRUE(second.chain().backlogFull());
+    first.chain().release("test");
+    m_timeline.runFor(seconds(1));
+    ASSERT_TRUE(second.chain().owned());
+    EXPECT_TRUE(second.chain().backlogFull());
+    second.backlogFull = false;
+    m_timeline.runFor(seconds(1));
+    EXPECT_FALSE(second.chain().backlogFull());
+    EXPECT_FALSE(first.chain().backlogFull());
+}
+
 // Guards against waiting for the silence timeout when the node of the owner has restarted.
 TEST_F(Chain, nextRunOfTheOwnersNodeTakesTheTermAtOnce)
 {
