Workflow: a divided planning pass leaves the event loop to others between its parts

Each event that asks for planning continued a divided pass at once, so many events in a row did one part after the other. A part is now followed by a pause of 40 ms. The key of needs that found no room lacked the limit of runs on a worker, which is higher for jobs of which nothing runs.

--- a/include/corianderscale/Decision/RunLimits.h
+++ b/include/corianderscale/Decision/RunLimits.h
@@ -7,7 +7,7 @@
 /** Runs that exist or may exist. */
 struct RunCounts {
     std::size_t all = 0;
-    /** Runs of the job that more tasks are to be assigned of. */
+    /** Runs of the job whose tasks are to be assigned. */
     std::size_t ofJob = 0;
     /** Workers that take work. */
     std::size_t workers = 0;
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -86,8 +86,10 @@
     Duration maximumEvacuationsAge = std::chrono::milliseconds(3000);
     /** How long a worker gets no new work after it refused a start. */
     Duration refusalAvoidTime = std::chrono::seconds(2);
-    /** Work of one part of a planning pass, see decision::PlanningBudget. */
+    /** Work of one part of a planning pass, see decision::PlanningBudget; and the pause after it, in which the event
+     * loop does other work. */
     std::size_t planningWork = decision::PlanningBudget::MaximumWork;
+    Duration planningPause = std::chrono::milliseconds(40);
     /** Memory of open jobs from which on entry VMs refuse further ones, see decision::JobBacklog. */
     std::size_t backlogBytes = decision::JobBacklog::MaximumBytes;
 };
@@ -541,6 +543,7 @@
                                decision::Resources,
                                std::size_t,
                                std::size_t,
+                               std::size_t,
                                double,
                                std::array<bool, 7>>;
     /** Needs that found no room in the present planning pass. */
--- a/include/corianderscale/Workflow/JobIntake.h
+++ b/include/corianderscale/Workflow/JobIntake.h
@@ -92,10 +92,10 @@
     JobIntake(Times times, Clock clock, RowStore &store, ScheduleAfter scheduleAfter);
 
     /** Stores a job; answers by @p deadline at the latest. Precondition: the job is valid, see checkJob(). */
+    void submit(const JobSpec &job, MonotonicTime deadline, CallDone done);
     /** Answers a submission that is not stored because there are too many open jobs. A job that was stored before is
      * accepted all the same. */
     void refuseUnlessKnown(const JobId &job, MonotonicTime deadline, CallDone done);
-    void submit(const JobSpec &job, MonotonicTime deadline, CallDone done);
     /** Cancels a job, also one whose submission is still under way: after any answer but Refused and Unclear nothing of
      * it is started. NoSuchJob means that no submission had taken effect, and none will. */
     void cancel(const JobId &job, MonotonicTime deadline, CallDone done);
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -515,7 +515,8 @@
     forgetEndedJobs(now);
     monitorRuns(now);
     evacuateDrainingWorkers(now);
-    if (m_planWanted || now >= m_nextPlanAt) {
+    // A pass that is divided is continued after its pause, not with each event.
+    if ((m_planWanted && !m_planContinuesAfter) || now >= m_nextPlanAt) {
         plan(now);
     }
     for (auto &[id, worker] : m_workers.all()) {
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -133,7 +133,7 @@
             }
             ++m_counts.planningContinued;
             m_planContinuesAfter = last;
-            m_planWanted = true;
+            m_nextPlanAt = m_clock.now() + m_times.planningPause;
             return;
         }
         if (!considered) {
@@ -461,6 +461,7 @@
                       need.perTask,
                       gang ? need.tasks : 1,
                       need.maximumPerWorker,
+                      need.maximumRunsPerWorker,
                       need.minimumSpeed,
                       {gang,
                        need.sameRack,
