Workflow: each step counts in the budget of a planning pass, also on few workers

With few workers a part of a pass compared up to 200,000 steps that differ, and kept a key for each.

--- a/include/corianderscale/Decision/PlanningBudget.h
+++ b/include/corianderscale/Decision/PlanningBudget.h
@@ -18,6 +18,8 @@
 public:
     /** Work of one unit: the comparison of a step with a worker, some 50 ns. */
     static constexpr std::size_t MaximumWork = 200000;
+    /** What a step takes beside the comparisons. */
+    static constexpr std::size_t WorkPerStep = 20;
     /** Assigning a task takes as long as this many comparisons. */
     static constexpr std::size_t WorkPerAssignment = 100;
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -139,6 +139,7 @@
         if (!considered) {
             last = where;
         }
+        m_planningBudget.spend(decision::PlanningBudget::WorkPerStep);
         step.job->waitingSince.try_emplace({step.occurrence, step.step}, now);
         const Candidate candidate{step.job,
                                   step.occurrence,
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -124,7 +124,7 @@
 TEST_F(PlanningLoad, longPassIsContinuedWhereItStopped)
 {
     fillWorkers();
-    m_harness.times.planningWork = 240; // 20 steps, each compared with 12 workers
+    m_harness.times.planningWork = 20 * (decision::PlanningBudget::WorkPerStep + 12); // 20 steps and 12 workers
     m_harness.endOwner(false);
     m_harness.startOwner();
     m_harness.runFor(seconds(1));
