--- a/unittests/Workflow/TermChainTest.cpp
+++ b/unittests/Workflow/TermChainTest.cpp
@@ -31,9 +31,7 @@
                    },
                    [this] { written = m_writing.value_or(written); },
                    [](MonotonicTime) {},
-                   [] {
-                       return true;
-                   },
+                   [] { return true; },
                    [this] {
                        return backlogFull;
                    }})
