--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -370,25 +370,10 @@
      * ago, or the owner is late. Logs when this changes. */
     bool isPlacingPaused(MonotonicTime now);
     void plan(MonotonicTime now);
-    /** The waiting steps that the workers could run if they were empty, in the order in which they are placed. */
-    WaitingSteps waitingSteps(MonotonicTime now);
-    void addWaitingStep(Job &job,
-                        const QueuePolicy &policy,
-                        std::size_t step,
-                        std::size_t due,
-                        MonotonicTime now,
-                        WaitingSteps &into) const;
     /** Places waiting steps until the budget is spent; the next pass continues from there. */
     void placeWaiting(WaitingSteps &waiting, PlacementBoard &board, MonotonicTime now);
     /** Whether a later occurrence of the step may find room where this one finds none. */
     bool mayDifferFromLaterOccurrences(const Candidate &candidate) const;
-    /** Whether the listed workers could run the step if they were empty. */
-    bool canEverRun(const StepSpec &step, const ServiceName &service) const;
-    void updatePools();
-    /** When an occurrence was submitted or due. */
-    MonotonicTime countedSince(const Job &job, std::size_t occurrence) const;
-    /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
-    MonotonicTime objectiveOf(const Job &job, const QueuePolicy &policy, std::size_t occurrence, Duration chain) const;
     /** Sets the speeds of the board's workers, if the pool is uneven. */
     void markSpeeds(PlacementBoard &board) const;
     /** Learned speeds of the workers of a service; null while it has no slow workers. */
@@ -441,6 +426,23 @@
                 const std::vector<WorkerId> &workers,
                 MonotonicTime now);
 
+    // JobEngineWaiting.cpp
+    /** The waiting steps that the workers could run if they were empty, in the order in which they are placed. */
+    WaitingSteps waitingSteps(MonotonicTime now);
+    void addWaitingStep(Job &job,
+                        const QueuePolicy &policy,
+                        std::size_t step,
+                        std::size_t due,
+                        MonotonicTime now,
+                        WaitingSteps &into) const;
+    /** Whether the listed workers could run the step if they were empty. */
+    bool canEverRun(const StepSpec &step, const ServiceName &service) const;
+    void updatePools();
+    /** When an occurrence was submitted or due. */
+    MonotonicTime countedSince(const Job &job, std::size_t occurrence) const;
+    /** Time after which an occurrence is late; @p chain is the expected time of its longest chain of steps. */
+    MonotonicTime objectiveOf(const Job &job, const QueuePolicy &policy, std::size_t occurrence, Duration chain) const;
+
     // JobEngineReclaim.cpp
     /** The jobs of priority 0 that their organisation's guarantee covers; older jobs are covered first. */
     std::set<JobId> guaranteedJobs() const;
@@ -550,7 +552,7 @@
     std::set<NeedKey> m_fullNeeds;
     decision::PlanningBudget m_planningBudget;
     /** Where the last planning pass stopped because its budget was spent. */
-    std::optional<PlanningPlace> m_planContinuesAfter;
+    std::optional<PlanningPosition> m_planContinuesAfter;
     /** Share of the accelerators in use; valid while workers are marked as proven. */
     double m_usedShare = 0;
     DataCentreWatch m_dataCentreWatch;
--- a/include/corianderscale/Workflow/WaitingSteps.h
+++ b/include/corianderscale/Workflow/WaitingSteps.h
@@ -11,8 +11,8 @@
 
 namespace coriander::workflow {
 
-/** Place of a waiting step in the order of a planning pass; lower places come first. */
-struct PlanningPlace {
+/** Position of a waiting step in the order of a planning pass; lower positions come first. */
+struct PlanningPosition {
     /** See decision::waitingRank(). */
     double rank = 0;
     /** When the occurrence becomes late. */
@@ -21,7 +21,7 @@
     std::size_t occurrence = 0;
     std::size_t step = 0;
 
-    auto operator<=>(const PlanningPlace &) const = default;
+    auto operator<=>(const PlanningPosition &) const = default;
 };
 
 /** A step of a job, in the occurrences in which it waits and has the same rank. The other members belong to all of
@@ -45,7 +45,7 @@
 
     /** When the occurrence was submitted or due. */
     MonotonicTime since() const;
-    PlanningPlace place() const;
+    PlanningPosition position() const;
 };
 
 /**
@@ -63,15 +63,15 @@
     {
         return m_steps.empty();
     }
-    /** The step with the lowest place. Precondition: not empty. */
+    /** The step with the lowest position. Precondition: not empty. */
     const WaitingStep &first() const
     {
         return m_steps.front();
     }
     /** Goes on to the step's next occurrence. Precondition: not empty. */
     void advanceFirst();
-    /** Goes on to the step's first occurrence after @p place. Precondition: not empty. */
-    void skipFirstThrough(const PlanningPlace &place);
+    /** Goes on to the step's first occurrence after @p position. Precondition: not empty. */
+    void skipFirstThrough(const PlanningPosition &position);
     /** Leaves the step out with all its further occurrences. Precondition: not empty. */
     void dropFirst();
 
@@ -79,7 +79,7 @@
     /** Goes on to the first step's next occurrence that is not passed, or leaves the step out if there is none. */
     void moveOn(const std::function<bool(const WaitingStep &)> &isPassed);
 
-    /** A heap with the lowest place at the front. */
+    /** A heap with the lowest position at the front. */
     std::vector<WaitingStep> m_steps;
 };
 
--- a/lib/Workflow/WaitingSteps.cpp
+++ b/lib/Workflow/WaitingSteps.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/** Order of a heap with the lowest place at the front. */
+/** Order of a heap with the lowest position at the front. */
 bool comesLater(const WaitingStep &left, const WaitingStep &right)
 {
-    // The same as comparing the places, without copies of the ids.
+    // The same as comparing the positions, without copies of the ids.
     const auto key = [](const WaitingStep &step) {
         return std::tuple<double, MonotonicTime, const JobId &, std::size_t, std::size_t>(
             step.rank, step.since() + step.objective, step.job->spec.id, step.occurrence, step.step);
@@ -27,7 +27,7 @@
     return firstSince + job->spec.interval * static_cast<std::int64_t>(occurrence);
 }
 
-PlanningPlace WaitingStep::place() const
+PlanningPosition WaitingStep::position() const
 {
     return {rank, since() + objective, job->spec.id, occurrence, step};
 }
@@ -61,13 +61,13 @@
     moveOn([](const WaitingStep &) { return false; });
 }
 
-void WaitingSteps::skipFirstThrough(const PlanningPlace &place)
+void WaitingSteps::skipFirstThrough(const PlanningPosition &position)
 {
-    if (first().rank < place.rank) {
+    if (first().rank < position.rank) {
         dropFirst();
         return;
     }
-    moveOn([&place](const WaitingStep &step) { return step.place() <= place; });
+    moveOn([&position](const WaitingStep &step) { return step.position() <= position; });
 }
 
 void WaitingSteps::dropFirst()
