Workflow: rows with a new policy let other rows pass

What callers would see: a configuration changes the priority or the objective of a queue with thousands of open jobs. Until all their rows are rewritten, starts and ends of other jobs wait for their turn among them (suspected before, shown by the test now).

Cause: jobs with a new policy were in the same set as jobs with starts and ends to store, and the batches take turns through it.

Fix: they are in a set of their own that fills what is left of each batch. Ends are acknowledged before it.

Evidence: PlanningLoad.rowsWithANewPolicyLetOtherRowsPass, 2,000 jobs: with policies first the other job is not even stored after 200 ms; now it is completed.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -282,6 +282,9 @@
     static bool addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now);
     /** Adds the end of a job to the batch and forgets the job; returns false, without a change, if it did not fit. */
     bool addEndOf(Job &job, const ChangeLimits &limits, EngineBatch &batch);
+    /** Adds rows of changed jobs, and rows of jobs with a new policy; return false if some did not fit. */
+    bool addDirtyJobs(const ChangeLimits &limits, EngineBatch &batch);
+    bool addPolicies(const ChangeLimits &limits, EngineBatch &batch);
     void removeLeftoverProgress(const ChangeLimits &limits, EngineBatch &batch);
     void forgetEndedJobs(MonotonicTime now);
     Job *findJob(const JobId &id);
@@ -559,6 +562,8 @@
     /** Jobs with rows to store, in order of the job id; and the last one whose rows were taken. */
     std::set<JobId> m_dirtyJobs;
     JobId m_lastStoredJob;
+    /** Jobs whose row has an older policy of their queue. */
+    std::set<JobId> m_jobsWithNewPolicy;
     /** Keys of progress rows of ended jobs that are still to be removed. */
     std::vector<std::string> m_leftoverProgress;
     /** Jobs that ended recently, with the time; a delayed feed may still show them. */
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -118,8 +118,6 @@
     /** Whether a start was given up before any run had begun; the job then counts as waiting until one has. */
     bool startGivenUp = false;
     bool stateDirty = false;
-    /** Whether the row of the job has an older policy of its queue. */
-    bool policyDirty = false;
     /** When this owner learnt of the job, which is after the job was accepted. */
     MonotonicTime learntAt;
     /** Since when tasks of a step wait for room; steps that no planning pass has come to are not listed. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -89,8 +89,7 @@
         return;
     }
     job.spec.policy = *queue;
-    job.policyDirty = true;
-    m_dirtyJobs.insert(job.spec.id);
+    m_jobsWithNewPolicy.insert(job.spec.id);
 }
 
 void JobEngine::countInBacklog(const Job &job, bool added)
@@ -354,20 +353,6 @@
 bool JobEngine::addRowsOf(Job &job, const ChangeLimits &limits, EngineBatch &batch, WallTime now)
 {
     const JobId &id = job.spec.id;
-    if (job.policyDirty) {
-        std::string value = encodeJob(job.spec);
-        if (value.size() > limits.rowBytes) {
-            // The row as it was stored fits; a larger one would be refused with all that is stored with it.
-            logEvent(LogLevel::Warning,
-                     "policy-not-stored",
-                     {{"job", id}, {"bytes", value.size()}, {"limit", limits.rowBytes}});
-        } else if (!batch.hasRoom(limits, 1, value.size())) {
-            return false;
-        } else {
-            batch.write({JobsTable, id.value(), std::move(value), {}, false});
-        }
-        job.policyDirty = false;
-    }
     if (job.stateDirty) {
         // An occurrence of a failed job says so, so it must not be stored later than the state.
         const bool startsFit
@@ -422,6 +407,7 @@
     m_endedJobs[id] = m_clock.now();
     m_advice.forget(id);
     countInBacklog(job, false);
+    m_jobsWithNewPolicy.erase(id);
     m_jobs.erase(id);
     return true;
 }
@@ -452,9 +438,8 @@
     std::erase_if(m_endedJobs, [this, now](const auto &each) { return now - each.second > m_times.endedJobRetention; });
 }
 
-EngineBatch JobEngine::takeBatch(const ChangeLimits &limits)
+bool JobEngine::addDirtyJobs(const ChangeLimits &limits, EngineBatch &batch)
 {
-    EngineBatch batch;
     while (!m_dirtyJobs.empty()) {
         // Continues after the last job, so that a job whose rows fill each batch does not keep out the others.
         auto next = m_dirtyJobs.upper_bound(m_lastStoredJob);
@@ -464,18 +449,52 @@
             const bool over = isFinal(job->state) && job->assignedCount() == 0;
             const bool added = over ? addEndOf(*job, limits, batch) : addRowsOf(*job, limits, batch, m_clock.wallNow());
             if (!added) {
-                return batch;
+                return false;
             }
         }
         m_dirtyJobs.erase(next);
     }
-    removeLeftoverProgress(limits, batch);
+    return true;
+}
+
+bool JobEngine::addPolicies(const ChangeLimits &limits, EngineBatch &batch)
+{
+    while (!m_jobsWithNewPolicy.empty()) {
+        const auto next = m_jobsWithNewPolicy.begin();
+        if (const Job *job = findJob(*next)) {
+            std::string value = encodeJob(job->spec);
+            if (value.size() > limits.rowBytes) {
+                // The row as it was stored fits; a larger one would be refused with all that is stored with it.
+                logEvent(LogLevel::Warning,
+                         "policy-not-stored",
+                         {{"job", *next}, {"bytes", value.size()}, {"limit", limits.rowBytes}});
+            } else if (!batch.hasRoom(limits, 1, value.size())) {
+                return false;
+            } else {
+                batch.write({JobsTable, next->value(), std::move(value), {}, false});
+            }
+        }
+        m_jobsWithNewPolicy.erase(next);
+    }
+    return true;
+}
+
+EngineBatch JobEngine::takeBatch(const ChangeLimits &limits)
+{
+    EngineBatch batch;
+    if (!addDirtyJobs(limits, batch)) {
+        return batch;
+    }
     for (const WorkerId &id : m_workersWithUnstoredEnds) {
         if (const Worker *worker = m_workers.find(id)) {
             batch.processedEnds[id] = {worker->report.incarnation, worker->lastProcessedEnd};
         }
     }
     m_workersWithUnstoredEnds.clear();
+    // These come last, because a changed queue may have thousands of jobs, and starts and ends must not wait for them.
+    if (addPolicies(limits, batch)) {
+        removeLeftoverProgress(limits, batch);
+    }
     return batch;
 }
 
@@ -523,7 +542,8 @@
         sendDueStops(worker, now);
         sendDueHold(worker, now);
     }
-    if (!m_dirtyJobs.empty() || !m_workersWithUnstoredEnds.empty() || !m_leftoverProgress.empty()) {
+    if (!m_dirtyJobs.empty() || !m_jobsWithNewPolicy.empty() || !m_workersWithUnstoredEnds.empty()
+        || !m_leftoverProgress.empty()) {
         m_requestStorage();
     }
 }
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -193,6 +193,38 @@
     EXPECT_EQ(second.written.front().key, "b-ordinary");
 }
 
+// Guards against starts and ends that wait until the rows of thousands of jobs have the new policy of their queue.
+TEST_F(PlanningLoad, rowsWithANewPolicyLetOtherRowsPass)
+{
+    StepSpec hopeless = stepOf(1, 64, 0);
+    for (int i = 0; i < 2000; ++i) {
+        m_harness.submit(m_harness.job("a" + std::to_string(10000 + i), 2, {hopeless}), {});
+    }
+    m_harness.runFor(seconds(1));
+    auto changed = std::make_shared<Catalogue>(*m_harness.catalogue);
+    changed->queues.at(2).stretch = 4;
+    changed->index();
+    m_harness.engine->setCatalogue(changed);
+    m_harness.submit(m_harness.job("z", 1, {stepOf(1, 1, 0)}), {.work = milliseconds(50)});
+    m_harness.runFor(milliseconds(200));
+    EXPECT_EQ(m_harness.storedState(JobId("z")), JobState::Completed);
+    std::size_t outdated = 0;
+    const auto countOutdated = [this, &outdated, &changed] {
+        outdated = 0;
+        for (const auto &[name, row] : m_harness.store.rows) {
+            ProtocolError error;
+            if (name.first == JobsTable) {
+                outdated += decodeJob(row.value, error)->policy == QueuePolicy(changed->queues.at(2)) ? 0 : 1;
+            }
+        }
+    };
+    countOutdated();
+    EXPECT_GT(outdated, 0U) << "the job was not ahead of the policies";
+    m_harness.runFor(seconds(2));
+    countOutdated();
+    EXPECT_EQ(outdated, 0U);
+}
+
 // Guards against advice that is kept for all steps of a job as long as the job lasts.
 TEST(AdviceLoad, adviceIsKeptForALimitedNumberOfSteps)
 {
