Workflow: the upper half of the runs of each worker is left to jobs of which nothing runs

What callers would see: three workers have a label, and tasks that need next to nothing fill the lower half of their runs.

Cause: allowedRuns() gave a job of which nothing runs the higher limit of a worker only once the lower half of all runs was spent.

Fix: sharedRuns() and firstRuns() are asked one after the other; the second only if the first found no room and a worker has no shared runs left. A gang may start as a whole in the upper half.

Evidence: PlanningLoad.jobOfWhichNothingRunsIsComparedByItsOwnLimit failed before.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -4,6 +4,7 @@
 #include "corianderscale/Decision/JobBacklog.h"
 #include "corianderscale/Decision/PlanningBudget.h"
 #include "corianderscale/Decision/PoolCapacity.h"
+#include "corianderscale/Decision/RunLimits.h"
 #include "corianderscale/Decision/WorkerSpeed.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/AdviceCache.h"
@@ -254,6 +255,8 @@
         bool late = false;
         /** Whether the organisation's guarantee covers the job. */
         bool guaranteed = false;
+        /** How many of the tasks may be assigned. */
+        decision::RunAllowance allowance;
     };
 
     /** Room that was freed for a step by preemption and is not used by the step yet. */
@@ -406,7 +409,9 @@
         Reclaimed,
         NoRoom,
     };
-    PlaceOutcome place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
+    /** Places waiting tasks of the step, as many as the limits of runs allow. */
+    PlaceOutcome place(Candidate candidate, PlacementBoard &board, MonotonicTime now);
+    PlaceOutcome placeWithinAllowance(const Candidate &candidate, PlacementBoard &board, MonotonicTime now);
     /** Places tasks as @p need says: all together if the step is a gang. */
     std::vector<std::size_t> findRoom(const PlacementNeed &need, bool gang, PlacementBoard &board);
     /** Marks the workers that proved themselves since a wave of failures began or may have begun. */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -36,7 +36,7 @@
     bool requireProven = false;
     /** Maximum number of tasks of the step on one worker; 0 for no limit. */
     std::size_t maximumPerWorker = 0;
-    /** Maximum number of runs on one worker, see decision::allowedRuns(). */
+    /** Maximum number of runs on one worker, see decision::sharedRuns(). */
     std::size_t maximumRunsPerWorker = std::numeric_limits<std::size_t>::max();
     /** Number of tasks of the step that each worker has already; used only with a limit. */
     std::map<WorkerId, std::size_t> placedTasks;
--- a/lib/Decision/RunLimits.cpp
+++ b/lib/Decision/RunLimits.cpp
@@ -9,9 +9,14 @@
 /** A run takes up to 1.5 kB of the owner, and some 60 bytes in each list of its worker. */
 constexpr std::size_t MaximumRuns = 20000;
 constexpr std::size_t MaximumRunsPerWorker = 2000;
-/** Tasks that a job of which nothing runs may have in the upper half of the runs. */
+/** Tasks that a job of which nothing runs may have in the upper half of the runs, if they start one by one. */
 constexpr std::size_t FirstTasks = 16;
 
+std::size_t maximumRuns(const RunCounts &counts)
+{
+    return std::min(MaximumRuns, counts.workers * MaximumRunsPerWorker);
+}
+
 std::size_t difference(std::size_t most, std::size_t used)
 {
     return most - std::min(most, used);
@@ -19,15 +24,20 @@
 
 } // namespace
 
-RunAllowance allowedRuns(const RunCounts &counts)
+RunAllowance sharedRuns(const RunCounts &counts)
+{
+    return {difference(maximumRuns(counts) / 2, counts.all), MaximumRunsPerWorker / 2};
+}
+
+RunAllowance firstRuns(const RunCounts &counts, std::size_t together)
+{
+    return {std::min(std::max(FirstTasks, together), difference(maximumRuns(counts), counts.all)),
+            MaximumRunsPerWorker};
+}
+
+bool hasNoSharedRuns(std::size_t runsOnWorker)
 {
-    const std::size_t most = std::min(MaximumRuns, counts.workers * MaximumRunsPerWorker);
-    const std::size_t shared = difference(most / 2, counts.all);
-    const std::size_t first = std::min(FirstTasks, difference(most, counts.all));
-    if (counts.ofJob > 0 || shared >= first) {
-        return {shared, MaximumRunsPerWorker / 2};
-    }
-    return {first, MaximumRunsPerWorker};
+    return runsOnWorker >= MaximumRunsPerWorker / 2;
 }
 
 } // namespace coriander::decision
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -263,9 +263,7 @@
     need.minimumSpeed = need.preferencesEnd ? 0 : minimumSpeed(candidate, now);
     need.preferSlow = !need.urgent && unevenSpeeds(need.service) != nullptr && canRunOnSlowWorkers(candidate, now);
     need.maximumPerWorker = step.maximumPerWorker;
-    need.maximumRunsPerWorker
-        = decision::allowedRuns({m_workers.runCount(), candidate.job->assignedCount(), m_workers.all().size()})
-              .runsPerWorker;
+    need.maximumRunsPerWorker = candidate.allowance.runsPerWorker;
     if (candidate.policy->needsAdvice) {
         need.approved = m_advice.approved(stepKey(candidate), m_workers);
     }
@@ -415,16 +413,35 @@
     std::erase_if(tasks, waits);
 }
 
-JobEngine::PlaceOutcome JobEngine::place(const Candidate &candidate, PlacementBoard &board, MonotonicTime now)
+JobEngine::PlaceOutcome JobEngine::place(Candidate candidate, PlacementBoard &board, MonotonicTime now)
+{
+    const decision::RunCounts counts{m_workers.runCount(), board.entries().size()};
+    candidate.allowance = decision::sharedRuns(counts);
+    const PlaceOutcome outcome = placeWithinAllowance(candidate, board, now);
+    if (outcome != PlaceOutcome::NoRoom || candidate.job->assignedCount() > 0) {
+        return outcome;
+    }
+    const bool anyFull = std::any_of(board.entries().begin(), board.entries().end(), [](const BoardEntry &entry) {
+        return decision::hasNoSharedRuns(entry.runs);
+    });
+    if (candidate.allowance.tasks > 0 && !anyFull) {
+        return outcome;
+    }
+    const StepSpec &step = candidate.job->spec.steps[candidate.step];
+    candidate.allowance = decision::firstRuns(counts, step.gang ? step.tasks : 1);
+    return placeWithinAllowance(candidate, board, now);
+}
+
+JobEngine::PlaceOutcome JobEngine::placeWithinAllowance(const Candidate &candidate,
+                                                        PlacementBoard &board,
+                                                        MonotonicTime now)
 {
     std::vector<std::size_t> tasks = waitingTasks(candidate);
     const bool gang = candidate.job->spec.steps[candidate.step].gang;
-    const decision::RunAllowance allowance
-        = decision::allowedRuns({m_workers.runCount(), candidate.job->assignedCount(), board.entries().size()});
-    if (allowance.tasks == 0 || (gang && tasks.size() > allowance.tasks)) {
+    if (candidate.allowance.tasks == 0 || (gang && tasks.size() > candidate.allowance.tasks)) {
         return PlaceOutcome::NoRoom;
     }
-    tasks.resize(std::min(tasks.size(), allowance.tasks));
+    tasks.resize(std::min(tasks.size(), candidate.allowance.tasks));
     const ClaimKey claimKey{candidate.job->spec.id, candidate.occurrence, candidate.step};
     const auto claim = m_claims.find(claimKey);
     if (claim != m_claims.end()) {
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -143,6 +143,31 @@
     EXPECT_GT(m_harness.engine->counts().planningContinued, 10U);
 }
 
+// Guards against a job of which nothing runs and that is left out because a job with many runs found no room before it:
+// the limit of runs on a worker is lower for the latter.
+TEST_F(PlanningLoad, jobOfWhichNothingRunsIsComparedByItsOwnLimit)
+{
+    StepSpec tiny = stepOf(1000, 0, 0);
+    tiny.perTask = {};
+    tiny.requiredLabel = "r0";
+    for (int i = 0; i < 3; ++i) {
+        m_harness.submit(m_harness.job("full" + std::to_string(i), 1, {tiny}), {.work = seconds(60)});
+    }
+    m_harness.runFor(seconds(2));
+    ASSERT_EQ(m_harness.workers.runningTasks(), 3000U) << "half of the runs that three workers may have";
+    // More tasks of a job that has runs come first in each pass, and find no room.
+    std::vector<StepSpec> more{tiny, tiny};
+    more[1].tasks = 2;
+    more[0].tasks = 1;
+    more[0].requiredLabel = "r1";
+    m_harness.submit(m_harness.job("a-more", 0, more), {.work = seconds(60)});
+    StepSpec one = tiny;
+    one.tasks = 1;
+    m_harness.submit(m_harness.job("b-one", 1, {one}), {.work = seconds(1)});
+    m_harness.runFor(seconds(2));
+    EXPECT_TRUE(isStarted("b-one"));
+}
+
 // Guards against tasks that are all assigned and started in one go, because thousands of them become due together.
 TEST_F(PlanningLoad, manyStartsAreSpreadOverSeveralPasses)
 {
