Workflow: waiting tasks count in the budget of a pass; test of the pause after a part

The budget counted a step with 2,000 waiting tasks like one with a single task, and its tasks were looked up one by one. They are listed by one walk, and counted.

PlanningLoad.eventsDoNotContinueADividedPassBeforeItsPause fails without its pause (47 parts instead of 1 after 50 events). PlanningLoad.waitingTasksCountInTheBudget fails without the count. StepTasks.waitingTasksAreThoseThatNeitherRunNorAreDone guards the walk.

--- a/include/corianderscale/Decision/PlanningBudget.h
+++ b/include/corianderscale/Decision/PlanningBudget.h
@@ -18,8 +18,9 @@
 public:
     /** Work of one unit: the comparison of a step with a worker, some 50 ns. */
     static constexpr std::size_t MaximumWork = 200000;
-    /** What a step takes beside the comparisons. */
+    /** What a step takes beside the comparisons, and the number of its waiting tasks that take as long as one. */
     static constexpr std::size_t WorkPerStep = 20;
+    static constexpr std::size_t TasksPerWork = 20;
     /** Assigning a task takes as long as this many comparisons. */
     static constexpr std::size_t WorkPerAssignment = 100;
 
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -91,7 +91,9 @@
         if (!considered) {
             last = position;
         }
-        m_planningBudget.spend(decision::PlanningBudget::WorkPerStep);
+        m_planningBudget.spend(decision::PlanningBudget::WorkPerStep
+                               + step.job->waitingCount({step.occurrence, step.step})
+                                   / decision::PlanningBudget::TasksPerWork);
         step.job->waitingSince.try_emplace({step.occurrence, step.step}, now);
         const Candidate candidate{step.job,
                                   step.occurrence,
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -113,8 +113,15 @@
 std::vector<std::size_t> StepTasks::waitingTasks(std::size_t most) const
 {
     std::vector<std::size_t> waiting;
+    waiting.reserve(std::min(most, this->waiting()));
+    auto state = m_states.begin();
     for (std::size_t i = 0; i < m_count && waiting.size() < most; ++i) {
-        if (phase(i) == TaskPhase::Waiting) {
+        if (state != m_states.end() && state->first == i) {
+            if (state->second.phase == TaskPhase::Waiting) {
+                waiting.push_back(i);
+            }
+            ++state;
+        } else if (!isDone(i)) {
             waiting.push_back(i);
         }
     }
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -143,6 +143,48 @@
     EXPECT_GT(m_harness.engine->counts().planningContinued, 10U);
 }
 
+// Guards against a divided pass that takes the event loop for itself, because each of many events continues it at once.
+TEST_F(PlanningLoad, eventsDoNotContinueADividedPassBeforeItsPause)
+{
+    fillWorkers();
+    m_harness.times.planningWork = 20 * (decision::PlanningBudget::WorkPerStep + 12);
+    m_harness.endOwner(false);
+    m_harness.startOwner();
+    m_harness.runFor(seconds(1));
+    for (int i = 0; i < 200; ++i) {
+        StepSpec step = stepOf(1, 1, 1);
+        step.perTask.memory = MemoryMib(100 + i);
+        m_harness.submit(m_harness.job("a" + std::to_string(1000 + i), 1, {step}), {});
+    }
+    m_harness.engine->step();
+    const std::size_t before = m_harness.engine->counts().planningContinued;
+    ASSERT_GT(before, 0U);
+    for (int i = 0; i < 50; ++i) {
+        m_harness.engine->addJob(m_harness.job("event" + std::to_string(i), 1, {stepOf(1, 1, 1)}));
+        m_harness.engine->step();
+    }
+    EXPECT_EQ(m_harness.engine->counts().planningContinued, before);
+    m_harness.runFor(milliseconds(60));
+    EXPECT_GT(m_harness.engine->counts().planningContinued, before);
+}
+
+// Guards against a part of a pass that takes long because its few steps have thousands of waiting tasks each.
+TEST_F(PlanningLoad, waitingTasksCountInTheBudget)
+{
+    fillWorkers();
+    m_harness.times.planningWork = 20 * (decision::PlanningBudget::WorkPerStep + 12);
+    m_harness.endOwner(false);
+    m_harness.startOwner();
+    m_harness.runFor(seconds(1));
+    for (int i = 0; i < 15; ++i) {
+        StepSpec step = stepOf(2000, 1, 1);
+        step.perTask.memory = MemoryMib(100 + i);
+        m_harness.submit(m_harness.job("a" + std::to_string(1000 + i), 1, {step}), {});
+    }
+    m_harness.engine->step();
+    EXPECT_GT(m_harness.engine->counts().planningContinued, 0U);
+}
+
 // Guards against a job of which nothing runs and that is left out because a job with many runs found no room before it:
 // the limit of runs on a worker is lower for the latter.
 TEST_F(PlanningLoad, jobOfWhichNothingRunsIsComparedByItsOwnLimit)
