--- a/review/standin3/main.cpp
+++ b/review/standin3/main.cpp
@@ -36,6 +36,7 @@
 struct Tenant {
     std::string name;
     std::string key;
+    int guaranteedGpu = 0;
 };
 
 /** A small deployment: the store, runners, and nodes in front of them. */
@@ -68,7 +69,8 @@
         }
         Json list = Json::array();
         for (const Tenant &tenant : tenants) {
-            list.push_back({{"name", tenant.name}, {"api_keys", {tenant.key}}, {"guaranteed", {{"gpu", 0}}}});
+            list.push_back(
+                {{"name", tenant.name}, {"api_keys", {tenant.key}}, {"guaranteed", {{"gpu", tenant.guaranteedGpu}}}});
         }
         const Json body = {{"version", ++version},
                            {"routes", routes},
@@ -518,6 +520,59 @@
     return broken ? 1 : 0;
 }
 
+/** GANG: a gang without accelerators is started in part while an urgent job waits for accelerators that it reclaims. */
+int partialGang(Deployment &deployment)
+{
+    constexpr int Runners = 6;
+    const std::string urgent = "/lohu930/";
+    const std::string normal = "/pule252/";
+    const std::string batch = "/pufi791/";
+    const std::string key = "key-of-tenant-a";
+    deployment.configure({{"r-a", urgent, 0}, {"r-b", normal, 1}, {"r-c", batch, 2}}, {{"tenant-a", key, 16}});
+    for (int i = 0; i < Runners; ++i) {
+        deployment.addRunner("palermo", "a", i < 3 ? "r1-1" : "r1-2");
+    }
+    if (!deployment.startNodes({"palermo", "palermo", "palermo"}) || !warmUp(deployment, normal, key)) {
+        return 2;
+    }
+    // All accelerators are in use by work of the lowest priority; 31 of 32 cores of each runner are free.
+    Json filling = step(Runners, 1000, 8, 60000);
+    filling["max_per_server"] = 1;
+    if (deployment.send(0, "POST", batch + jobId(1), key, job("work=60000", {filling})).status != 200) {
+        return 2;
+    }
+    sleepFor(2);
+    if (trouble()) {
+        // Two tasks within the guarantee of the tenant; room for them is reclaimed from the lowest priority.
+        const Json body = job("work=2000", {step(2, 1000, 8, 2000)});
+        if (deployment.send(0, "POST", urgent + jobId(2), key, body).status != 200) {
+            return 2;
+        }
+    }
+    Json gang = step(Runners, 20000, 0, 2000);
+    gang.erase("gpu");
+    gang["gang"] = true;
+    const Json body = job("gang=" + std::to_string(Runners) + " work=2000", {gang});
+    if (deployment.send(0, "POST", urgent + jobId(3), key, body).status != 200) {
+        return 2;
+    }
+    sleepFor(12);
+    std::map<std::int64_t, int> membersOfRun;
+    for (const Start &start : Runner::starts()) {
+        if (start.task.rfind(jobId(3), 0) == 0) {
+            ++membersOfRun[start.run];
+        }
+    }
+    for (const auto &[run, members] : membersOfRun) {
+        record("run " + std::to_string(run) + " of the gang was started with " + std::to_string(members) + " of "
+               + std::to_string(Runners) + " members");
+    }
+    for (const std::string &end : Runner::endsAlone()) {
+        record("GANG: " + end + " ended alone, and nothing but jobs was handed in");
+    }
+    return Runner::endsAlone().empty() ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -541,7 +596,8 @@
                                                                     {"lasting", lastingTask},
                                                                     {"same-id", sameId},
                                                                     {"advice", advisedQueue},
-                                                                    {"restarted-kind", restartedKind}};
+                                                                    {"restarted-kind", restartedKind},
+                                                                    {"partial-gang", partialGang}};
         const auto found = cases.find(argv[1]);
         try {
             code = found == cases.end() ? 2 : found->second(deployment);
--- a/review/standin3/standin.cpp
+++ b/review/standin3/standin.cpp
@@ -37,11 +37,28 @@
 constexpr Ms TickInterval{5};
 constexpr std::size_t RowsPerPage = 500;
 constexpr std::size_t EndsPerAnswer = 500;
+constexpr Ms GangWait{3000};
 
 std::mutex startsMutex;
 std::vector<Start> allStarts;
 std::map<std::string, double> seenRunning;
 std::map<std::string, SteadyClock::time_point> firstStartOfJob;
+std::vector<std::string> allEndsAlone;
+
+/** One run of a gang on all runners. */
+struct Gang {
+    long present = 0;
+    /** When the work of all members ends; no value before all are present. */
+    std::optional<SteadyClock::time_point> endsAt;
+    /** How the gang ended; empty before. */
+    std::string how;
+};
+std::map<std::string, Gang> gangs;
+
+std::string gangOf(const std::string &task, std::int64_t run)
+{
+    return task.substr(0, task.rfind('.')) + " run " + std::to_string(run);
+}
 
 std::string lower(std::string text)
 {
@@ -97,6 +114,46 @@
     return std::max(now + behaviour.endsAgainAfter, first + behaviour.endsAfter + turn);
 }
 
+/** Notes that a member of a gang begins. */
+void joinGang(const std::string &task, std::int64_t run, const Behaviour &behaviour)
+{
+    const std::lock_guard lock(startsMutex);
+    Gang &gang = gangs[gangOf(task, run)];
+    if (++gang.present == behaviour.gang) {
+        gang.endsAt = SteadyClock::now() + behaviour.work;
+    }
+}
+
+/** How the run of a member ends now; empty if it goes on. */
+std::string endOfMember(const std::string &task, std::int64_t run, SteadyClock::time_point startedAt)
+{
+    const std::lock_guard lock(startsMutex);
+    Gang &gang = gangs[gangOf(task, run)];
+    const auto now = SteadyClock::now();
+    if (!gang.how.empty()) {
+        return gang.how;
+    }
+    if (gang.endsAt && now >= *gang.endsAt) {
+        gang.how = "done";
+        return gang.how;
+    }
+    if (!gang.endsAt && now - startedAt >= GangWait) {
+        allEndsAlone.push_back(task + " run " + std::to_string(run));
+        return "alone";
+    }
+    return {};
+}
+
+/** Ends the other members when one of them ended. */
+void breakGang(const std::string &task, std::int64_t run)
+{
+    const std::lock_guard lock(startsMutex);
+    const auto gang = gangs.find(gangOf(task, run));
+    if (gang != gangs.end() && gang->second.how.empty() && gang->second.endsAt) {
+        gang->second.how = "broken";
+    }
+}
+
 /** Reads until a whole message is in @p buffer; returns its header and body, or no value if the channel ended. */
 std::optional<std::pair<std::string, std::string>> readMessage(int fd,
                                                                std::string &buffer,
@@ -190,6 +247,7 @@
     behaviour.endsAfter = Ms(number(" end", 0));
     behaviour.endsAgainAfter = Ms(number(" again", 0));
     behaviour.tasksThatEndAgain = number(" tasks", 0);
+    behaviour.gang = number("gang", 0);
     const std::size_t how = spec.find("how=");
     if (how != std::string::npos) {
         behaviour.how = spec.substr(how + 4, spec.find(' ', how) - how - 4);
@@ -615,6 +673,12 @@
     return allStarts;
 }
 
+std::vector<std::string> Runner::endsAlone()
+{
+    const std::lock_guard lock(startsMutex);
+    return allEndsAlone;
+}
+
 std::optional<double> Runner::lastSeenRunning(const std::string &task)
 {
     const std::lock_guard lock(startsMutex);
@@ -686,7 +750,11 @@
     run.spec = body.at("spec");
     run.startedAt = SteadyClock::now();
     run.behaviour = behaviourOf(run.spec);
-    run.endsAt = endOf(key.first, key.second, run.behaviour);
+    if (run.behaviour.gang > 0) {
+        joinGang(key.first, key.second, run.behaviour);
+    } else {
+        run.endsAt = endOf(key.first, key.second, run.behaviour);
+    }
     m_runs[key] = run;
     record("start   " + key.first + " run " + std::to_string(key.second) + " on " + m_id + ", spec \"" + run.spec
            + "\"");
@@ -736,6 +804,7 @@
 void Runner::end(const RunKey &key, const std::string &how)
 {
     m_runs.erase(key);
+    breakGang(key.first, key.second);
     std::int64_t &refused = m_refusedThrough[key.first];
     refused = std::max(refused, key.second);
     m_ended.push_back({++m_lastEnd, key.first, key.second, how, ""});
@@ -766,6 +835,10 @@
                 ends.emplace_back(key, "lapsed");
             } else if (run.stopAt && now >= *run.stopAt) {
                 ends.emplace_back(key, "stopped");
+            } else if (run.behaviour.gang > 0) {
+                if (const std::string how = endOfMember(key.first, key.second, run.startedAt); !how.empty()) {
+                    ends.emplace_back(key, how);
+                }
             } else if (run.endsAt && now >= *run.endsAt) {
                 ends.emplace_back(key, run.behaviour.how);
             }
--- a/review/standin3/standin.h
+++ b/review/standin3/standin.h
@@ -168,6 +168,7 @@
     Ms endsAgainAfter{0};
     long tasksThatEndAgain = 0;
     std::string how = "done";
+    long gang = 0;
 };
 
 /** One life of a runner; follows the page "Running tasks". */
@@ -196,6 +197,8 @@
     void restartAs(const std::string &kind);
     std::vector<std::string> runningTasks();
 
+    /** The tasks and runs that ended `alone`. */
+    static std::vector<std::string> endsAlone();
     /** All starts that any runner has begun. */
     static std::vector<Start> starts();
     /** When a run of the task was last in progress on a runner that is up; no value before its first start. */
