Workflow: steps that wait for room leave the advisor to those that can start

Cause: the advisor handles one question at a time. A planning pass offered the next question to the waiting steps in their fixed order, and a step took it whenever one of its approvals had expired, also for workers without room. An approval may be used for 2.7 s and a question about 24 workers takes 0.68 s, so four such steps used up all questions.

Evidence: the log of the case asks about four large jobs in turn and never about the small one.

Why this works: a pass places each step as if the advisor approved all workers that it has not refused, and so knows whether an answer would let the step start, preempt, or nothing. decision::AdviceTurns chooses one question at the end of the pass: steps that wait for room come last, the other uses take turns, and within a use the step that waits or was asked about longest ago comes first. Questions are short while several steps can start; a gang asks about all of its workers at once. Questions have a time limit that follows their size, and a lost answer about a step that waits for room puts off further ones of that kind.

AdviceLoad.adviceIsKeptForALimitedNumberOfSteps calls the two functions that replace AdviceCache::ask(); what it checks is the same.

--- a/include/corianderscale/Workflow/AdviceCache.h
+++ b/include/corianderscale/Workflow/AdviceCache.h
@@ -1,17 +1,34 @@
 #pragma once
 
+#include "corianderscale/Decision/AdviceTurns.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/Advisor.h"
 #include "corianderscale/Workflow/Placement.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace coriander::workflow {
 
+/** A question that a planning pass would ask about a waiting step. */
+struct AdviceQuestion {
+    StepKey step;
+    decision::AdviceRequest request;
+    PlacementNeed need;
+    /** Entries of the board that the step would use if their workers were approved, one for each task; empty if it has
+     * to wait for room. */
+    std::vector<std::size_t> entries;
+    /** Whether all tasks start together, so that all their approvals have to be valid at the same time. */
+    bool gang = false;
+};
+
 /**
- * Caches the advisor's answers by step and worker, and sends one question at a time.
+ * Caches the advisor's answers by step and worker, and sends one question at a time: the one of each part of a planning
+ * pass that comes first by decision::AdviceTurns.
  *
  * Thread safety: only on the thread of the event loop. Answers that arrive after destruction are ignored.
  */
@@ -30,8 +47,20 @@
     /** The ticket that a start on the worker has to carry; empty if there is none. */
     std::string ticket(const StepKey &step, const Worker &worker) const;
 
-    /** Asks the advisor about workers of @p board that could run a task of the step, unless a question is in flight. */
-    void ask(const StepKey &step, const PlacementBoard &board, PlacementNeed need);
+    /** The workers that the advisor has not refused for the step; no value if it has refused none. */
+    std::optional<std::set<WorkerId>> possible(const StepKey &step, const WorkerTable &workers) const;
+
+    /** @name Questions of a part of a planning pass, which all have the same board */
+    ///@{
+    /** Drops the questions of earlier parts. */
+    void beginPart();
+    /** Whether a question can be sent now. */
+    bool canAsk() const;
+    /** Proposes a question; ignored unless canAsk() and an answer would say anything new. */
+    void propose(AdviceQuestion question, const PlacementBoard &board);
+    /** Sends the question that comes first, if any; returns its step. */
+    std::optional<StepKey> askFirst(const PlacementBoard &board);
+    ///@}
 
     /** Whether the advisor was asked about the step and its advice is kept. */
     bool knows(const StepKey &step) const;
@@ -65,6 +94,21 @@
      */
     StepAdvice &adviceOn(const StepKey &step);
     bool usable(const WorkerAdvice &workerAdvice, const Worker &worker) const;
+    const WorkerAdvice *find(const StepKey &step, const Worker &worker) const;
+    /** Whether the advisor has to be asked before a task of the step starts on the worker; not if it was refused. */
+    bool isOpen(const StepKey &step, const Worker &worker) const;
+    /** The workers that a step needs an answer about before it can use @p question's entries. */
+    std::vector<WorkerId> neededWorkers(const AdviceQuestion &question, const PlacementBoard &board) const;
+    /** Further workers that could run a task of the step, the most useful ones first. With @p roomOnly those that have
+     * room now. */
+    std::vector<WorkerId> furtherWorkers(const AdviceQuestion &question,
+                                         const PlacementBoard &board,
+                                         bool roomOnly) const;
+    void answered(const StepKey &step,
+                  const std::map<WorkerId, Incarnation> &asked,
+                  MonotonicTime sentAt,
+                  const std::optional<Advice> &advice,
+                  const std::string &reason);
     void storeAdvice(const StepKey &step,
                      const std::map<WorkerId, Incarnation> &asked,
                      MonotonicTime sentAt,
@@ -74,8 +118,16 @@
     std::function<void()> m_answered;
     Advisor *m_advisor = nullptr;
     std::map<StepKey, StepAdvice> m_advice;
+    decision::AdviceTurns m_turns;
+    /** The question that comes first among those proposed, and the number of those that let a step start. */
+    std::optional<AdviceQuestion> m_first;
+    std::size_t m_proposedStarts = 0;
     bool m_questionInFlight = false;
     MonotonicTime m_nextAskAt;
+    /** Earliest time of the next question for a step that has to wait for room. */
+    MonotonicTime m_nextAskInAdvanceAt;
+    /** Number of questions in a row without an answer. */
+    std::size_t m_unanswered = 0;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/include/corianderscale/Workflow/Advisor.h
+++ b/include/corianderscale/Workflow/Advisor.h
@@ -32,8 +32,9 @@
 public:
     virtual ~Advisor() = default;
 
-    /** Precondition: at most 100 workers. */
-    virtual void ask(const StepKey &step, const std::vector<WorkerId> &workers, AdviceDone done) = 0;
+    /** Gives up after @p timeLimit. Precondition: at most decision::MaximumAdviceWorkers workers. */
+    virtual void ask(const StepKey &step, const std::vector<WorkerId> &workers, Duration timeLimit, AdviceDone done)
+        = 0;
 };
 
 } // namespace coriander::workflow
--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -241,6 +241,10 @@
     ///@}
 
 private:
+    /** Work of a lower rank is urgent, covered by a guarantee or lasts; where a pass is done in several parts, each
+     * part begins with it. */
+    static constexpr double UrgentRank = 1;
+
     /** The waiting tasks of one step of an occurrence. */
     struct Candidate {
         Job *job = nullptr;
@@ -255,6 +259,8 @@
         bool late = false;
         /** Whether the organisation's guarantee covers the job. */
         bool guaranteed = false;
+        /** See decision::waitingRank(). */
+        double rank = 0;
         /** How many of the tasks may be assigned. */
         decision::RunAllowance allowance;
     };
@@ -434,6 +440,19 @@
                 const std::vector<WorkerId> &workers,
                 MonotonicTime now);
 
+    // JobEngineAdvice.cpp
+    /** Whether the step may preempt runs when it finds no room. */
+    bool mayPreempt(const Candidate &candidate, MonotonicTime now) const;
+    /** Proposes to ask the advisor about the step, of which @p missing tasks found no approved worker with room; @p
+     * need is what they were placed with. */
+    void proposeQuestion(const Candidate &candidate,
+                         const PlacementNeed &need,
+                         std::size_t missing,
+                         PlacementBoard &board,
+                         MonotonicTime now);
+    /** Sends the question that comes first among those proposed in this part of the pass. */
+    void askAdvisor(const PlacementBoard &board, MonotonicTime now);
+
     // JobEngineWaiting.cpp
     /** The waiting steps that the workers could run if they were empty, in the order in which they are placed. */
     WaitingSteps waitingSteps(MonotonicTime now);
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -122,6 +122,10 @@
     MonotonicTime learntAt;
     /** Since when tasks of a step wait for room; steps that no planning pass has come to are not listed. */
     std::map<StepIndex, MonotonicTime> waitingSince;
+    /** When the advisor was last asked about a step of which tasks wait; steps that were not asked about are not
+     * listed.
+     */
+    std::map<StepIndex, MonotonicTime> adviceAskedAt;
     /** By occurrence: runs whose start order is sent once the row of the occurrence is stored. */
     std::map<std::size_t, std::vector<std::pair<WorkerId, RunKey>>> pendingStarts;
     /** Occurrences that changed since their rows were stored. */
--- a/include/corianderscale/Workflow/Placement.h
+++ b/include/corianderscale/Workflow/Placement.h
@@ -133,4 +133,7 @@
  * rack is used, else any. Returns an entry for each placed task. */
 std::vector<std::size_t> placeEach(PlacementBoard &board, const PlacementNeed &need);
 
+/** Gives back the room of the @p entries that placeTogether() or placeEach() took for the need. */
+void returnRoom(PlacementBoard &board, const PlacementNeed &need, const std::vector<std::size_t> &entries);
+
 } // namespace coriander::workflow
--- a/lib/Workflow/AdviceCache.cpp
+++ b/lib/Workflow/AdviceCache.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-/** Maximum number of workers in one question; the deployments' latency objectives allow for one question about 30. */
-constexpr std::size_t MaximumWorkersPerQuestion = 30;
 /** A ticket is not used in this time before it expires, so that the start arrives in time. */
 constexpr Duration TicketMargin = std::chrono::milliseconds(300);
 /** Pause before the next question after one without an answer. */
 constexpr Duration FailedQuestionPause = std::chrono::milliseconds(300);
+/** The same for steps that wait for room. Another step that becomes ready in the meantime does not have to wait for a
+ * further question without an answer. */
+constexpr Duration FailedAdvancePause = std::chrono::seconds(5);
 
 } // namespace
 
@@ -77,58 +78,177 @@
     return m_advice.count(step) > 0;
 }
 
-void AdviceCache::ask(const StepKey &step, const PlacementBoard &board, PlacementNeed need)
+const AdviceCache::WorkerAdvice *AdviceCache::find(const StepKey &step, const Worker &worker) const
 {
-    if (m_advisor == nullptr || m_questionInFlight || m_clock.now() < m_nextAskAt) {
-        return;
+    const auto adviceByWorker = m_advice.find(step);
+    if (adviceByWorker == m_advice.end()) {
+        return nullptr;
+    }
+    const auto workerAdvice = adviceByWorker->second.workers.find(worker.report.id);
+    const bool known = workerAdvice != adviceByWorker->second.workers.end()
+        && workerAdvice->second.incarnation == worker.report.incarnation;
+    return known ? &workerAdvice->second : nullptr;
+}
+
+bool AdviceCache::isOpen(const StepKey &step, const Worker &worker) const
+{
+    const WorkerAdvice *known = find(step, worker);
+    return known == nullptr || (known->isApproved && !usable(*known, worker));
+}
+
+std::optional<std::set<WorkerId>> AdviceCache::possible(const StepKey &step, const WorkerTable &workers) const
+{
+    std::set<WorkerId> result;
+    for (const auto &[id, worker] : workers.all()) {
+        const WorkerAdvice *known = find(step, worker);
+        if (known == nullptr || known->isApproved) {
+            result.insert(result.end(), id);
+        }
     }
+    return result.size() == workers.all().size() ? std::nullopt : std::optional(std::move(result));
+}
+
+void AdviceCache::beginPart()
+{
+    m_first.reset();
+    m_proposedStarts = 0;
+}
+
+bool AdviceCache::canAsk() const
+{
+    return m_advisor != nullptr && !m_questionInFlight && m_clock.now() >= m_nextAskAt;
+}
+
+std::vector<WorkerId> AdviceCache::neededWorkers(const AdviceQuestion &question, const PlacementBoard &board) const
+{
+    std::set<WorkerId> used;
+    std::set<WorkerId> open;
+    for (const std::size_t index : question.entries) {
+        const Worker &worker = *board.entries()[index].worker;
+        used.insert(worker.report.id);
+        if (isOpen(question.step, worker)) {
+            open.insert(worker.report.id);
+        }
+    }
+    const std::set<WorkerId> &needed = question.gang && !open.empty() ? used : open;
+    return {needed.begin(), needed.end()};
+}
+
+std::vector<WorkerId> AdviceCache::furtherWorkers(const AdviceQuestion &question,
+                                                  const PlacementBoard &board,
+                                                  bool roomOnly) const
+{
+    PlacementNeed need = question.need;
     need.approved.reset();
-    const std::map<WorkerId, WorkerAdvice> &adviceByWorker = adviceOn(step).workers;
     // Workers whose approval expired come first, then workers with room now, then all others.
     std::vector<std::pair<int, const Worker *>> candidates;
     for (const std::size_t index : board.eligible(need)) {
         const BoardEntry &entry = board.entries()[index];
-        const auto workerAdvice = adviceByWorker.find(entry.worker->report.id);
-        const bool known = workerAdvice != adviceByWorker.end()
-            && workerAdvice->second.incarnation == entry.worker->report.incarnation;
-        if (!entry.open || !fitsInto(need.perTask, entry.worker->report.capacity)
-            || (known && (!workerAdvice->second.isApproved || usable(workerAdvice->second, *entry.worker)))) {
-            continue;
+        const bool hasRoom = fitsInto(need.perTask, entry.room);
+        if (entry.open && isOpen(question.step, *entry.worker) && fitsInto(need.perTask, entry.worker->report.capacity)
+            && (hasRoom || !roomOnly)) {
+            const bool known = find(question.step, *entry.worker) != nullptr;
+            candidates.emplace_back(known ? 0 : hasRoom ? 1 : 2, entry.worker);
         }
-        candidates.emplace_back(known ? 0 : fitsInto(need.perTask, entry.room) ? 1 : 2, entry.worker);
-    }
-    if (candidates.empty()) {
-        return;
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
         return left.first < right.first;
     });
-    candidates.resize(std::min(candidates.size(), MaximumWorkersPerQuestion));
-    std::map<WorkerId, Incarnation> asked;
-    std::vector<WorkerId> workerIds;
+    std::vector<WorkerId> workers;
     for (const auto &[order, worker] : candidates) {
-        asked[worker->report.id] = worker->report.incarnation;
-        workerIds.push_back(worker->report.id);
+        workers.push_back(worker->report.id);
     }
-    m_questionInFlight = true;
-    logEvent(LogLevel::Info,
-             "advice-asked",
-             {{"job", step.job}, {"occurrence", step.occurrence}, {"step", step.step}, {"workers", workerIds.size()}});
-    const auto done = [this, alive = std::weak_ptr<int>(m_alive), step, asked, sentAt = m_clock.now()](
-                          const std::optional<Advice> &advice, const std::string &reason) {
-        if (!alive.lock()) {
-            return;
+    return workers;
+}
+
+void AdviceCache::propose(AdviceQuestion question, const PlacementBoard &board)
+{
+    const bool starts = question.request.use != decision::AdviceUse::Later;
+    if (!canAsk() || (!starts && (m_proposedStarts > 0 || m_clock.now() < m_nextAskInAdvanceAt))) {
+        return;
+    }
+    if (starts ? neededWorkers(question, board).empty() : furtherWorkers(question, board, false).empty()) {
+        return;
+    }
+    const bool again = m_first && m_first->step == question.step;
+    m_proposedStarts += starts && !again ? 1 : 0;
+    if (!m_first || again || m_turns.comesBefore(question.request, m_first->request)) {
+        m_first = std::move(question);
+    }
+}
+
+std::optional<StepKey> AdviceCache::askFirst(const PlacementBoard &board)
+{
+    if (!m_first || !canAsk()) {
+        return std::nullopt;
+    }
+    const AdviceQuestion question = std::move(*m_first);
+    m_first.reset();
+    const bool othersWait = m_proposedStarts > 1;
+    std::vector<WorkerId> workers = neededWorkers(question, board);
+    const std::size_t most = decision::workersPerQuestion({workers.size(), question.gang, othersWait});
+    for (const WorkerId &further : furtherWorkers(question, board, othersWait)) {
+        if (workers.size() < most && std::find(workers.begin(), workers.end(), further) == workers.end()) {
+            workers.push_back(further);
         }
-        m_questionInFlight = false;
-        if (advice) {
-            storeAdvice(step, asked, sentAt, *advice);
-        } else {
-            m_nextAskAt = m_clock.now() + FailedQuestionPause;
-            logEvent(LogLevel::Warning, "advice-missing", {{"job", step.job}, {"reason", reason}});
+    }
+    workers.resize(std::min(workers.size(), most));
+    std::map<WorkerId, Incarnation> asked;
+    for (const WorkerId &id : workers) {
+        if (const std::optional<std::size_t> entry = board.find(id)) {
+            asked[id] = board.entries()[*entry].worker->report.incarnation;
         }
-        m_answered();
-    };
-    m_advisor->ask(step, workerIds, done);
+    }
+    adviceOn(question.step);
+    m_questionInFlight = true;
+    m_turns.asked(question.request.use);
+    const MonotonicTime now = m_clock.now();
+    logEvent(
+        LogLevel::Info,
+        "advice-asked",
+        {{"job", question.step.job},
+         {"occurrence", question.step.occurrence},
+         {"step", question.step.step},
+         {"workers", workers.size()},
+         {"use", decision::adviceUseName(question.request.use)},
+         {"waits_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - question.request.waitsSince).count()},
+         {"startable_steps", m_proposedStarts}});
+    m_advisor->ask(question.step,
+                   workers,
+                   decision::adviceTimeLimit(workers.size(), m_unanswered),
+                   [this, alive = std::weak_ptr<int>(m_alive), step = question.step, asked, now](
+                       const std::optional<Advice> &advice, const std::string &reason) {
+                       if (alive.lock()) {
+                           answered(step, asked, now, advice, reason);
+                       }
+                   });
+    return question.step;
+}
+
+void AdviceCache::answered(const StepKey &step,
+                           const std::map<WorkerId, Incarnation> &asked,
+                           MonotonicTime sentAt,
+                           const std::optional<Advice> &advice,
+                           const std::string &reason)
+{
+    m_questionInFlight = false;
+    if (advice) {
+        m_unanswered = 0;
+        m_nextAskInAdvanceAt = m_clock.now();
+        storeAdvice(step, asked, sentAt, *advice);
+    } else {
+        ++m_unanswered;
+        m_nextAskAt = m_clock.now() + FailedQuestionPause;
+        m_nextAskInAdvanceAt = m_clock.now() + FailedAdvancePause;
+        logEvent(LogLevel::Warning,
+                 "advice-missing",
+                 {{"job", step.job},
+                  {"occurrence", step.occurrence},
+                  {"step", step.step},
+                  {"reason", reason},
+                  {"in_a_row", m_unanswered}});
+    }
+    m_answered();
 }
 
 void AdviceCache::storeAdvice(const StepKey &step,
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -16,9 +16,6 @@
 constexpr double MaximumGangReserveShare = 0.05;
 /** Maximum share of all workers that is reserved for one gang; a larger gang waits until enough workers are free. */
 constexpr double MaximumReserveShareOfOneGang = 0.25;
-/** Work of a lower rank is urgent, covered by a guarantee or lasts; where a pass is done in several parts, each part
-    begins with it. */
-constexpr double UrgentRank = 1;
 /** Share of the accelerators of the workers on the board that runs use, from 0 to 1. */
 double usedAcceleratorShare(const PlacementBoard &board)
 {
@@ -62,7 +59,9 @@
     }
     m_planningBudget = decision::PlanningBudget(m_times.planningWork);
     m_fullNeeds.clear();
+    m_advice.beginPart();
     placeWaiting(waiting, board, now);
+    askAdvisor(board, now);
 }
 
 void JobEngine::placeWaiting(WaitingSteps &waiting, PlacementBoard &board, MonotonicTime now)
@@ -102,7 +101,8 @@
                                   step.since(),
                                   position.objective,
                                   step.late,
-                                  step.guaranteed};
+                                  step.guaranteed,
+                                  step.rank};
         if (place(candidate, board, now) == PlaceOutcome::NoRoom && !mayDifferFromLaterOccurrences(candidate)) {
             waiting.dropFirst();
         } else {
@@ -489,16 +489,12 @@
     }
     assignTo(candidate, tasks, entries, board, now);
     if (need.approved && entries.size() < tasks.size()) {
-        m_advice.ask(stepKey(candidate), board, need);
+        proposeQuestion(candidate, need, tasks.size() - entries.size(), board, now);
     }
     if (entries.empty() && gang && !need.urgent && !candidate.late) {
         reserveForGang(need, board);
     }
-    const bool urgent = candidate.policy->priority == 0 && gang;
-    const std::optional<MonotonicTime> since = waitingSince(candidate);
-    const bool lastingWaits
-        = candidate.job->spec.steps[candidate.step].longRunning && since && now - *since > m_times.lastingWait;
-    if (entries.size() == tasks.size() || !(candidate.guaranteed || urgent || lastingWaits)) {
+    if (entries.size() == tasks.size() || !mayPreempt(candidate, now)) {
         m_claims.erase(claimKey);
         return onProven || !entries.empty() ? PlaceOutcome::Placed : PlaceOutcome::NoRoom;
     }
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -248,6 +248,7 @@
     } else {
         insert(m_busySteps[index.step], index.occurrence);
         waitingSince.erase(index);
+        adviceAskedAt.erase(index);
     }
 }
 
--- a/lib/Workflow/Placement.cpp
+++ b/lib/Workflow/Placement.cpp
@@ -329,4 +329,13 @@
     return placer.take(board, entries);
 }
 
+void returnRoom(PlacementBoard &board, const PlacementNeed &need, const std::vector<std::size_t> &entries)
+{
+    for (const std::size_t index : entries) {
+        BoardEntry &entry = board.entries()[index];
+        entry.room = plus(entry.room, need.perTask);
+        --entry.runs;
+    }
+}
+
 } // namespace coriander::workflow
--- a/unittests/Soak/SoakCallers.cpp
+++ b/unittests/Soak/SoakCallers.cpp
@@ -46,6 +46,7 @@
     , m_nodeAddresses(std::move(nodeAddresses))
     , m_random(seed)
     , m_unusualRandom(seed + 1000)
+    , m_advisedRandom(seed + 2000)
     , m_client(loop, AsyncHttpClient::Settings{})
 {
     m_platform.workers.onStart = [this](const TaskKey &task, std::int64_t) {
@@ -58,6 +59,7 @@
     m_submitting = true;
     submitNext();
     submitNextUnusual();
+    submitNextAdvised();
 }
 
 void SoakCallers::stopSubmitting()
@@ -147,6 +149,34 @@
     return job;
 }
 
+void SoakCallers::submitNextAdvised()
+{
+    if (!m_submitting) {
+        return;
+    }
+    const SubmissionPointer job = makeAdvisedSubmission();
+    m_jobs[job->id] = job;
+    submit(job);
+    const int pause = std::uniform_int_distribution<int>(300, 1200)(m_advisedRandom);
+    callAfter(m_loop, milliseconds(pause), [this] { submitNextAdvised(); });
+}
+
+SoakCallers::SubmissionPointer SoakCallers::makeAdvisedSubmission()
+{
+    const auto draw = [this](int minimum, int maximum) {
+        return std::uniform_int_distribution<int>(minimum, maximum)(m_advisedRandom);
+    };
+    const auto job = std::make_shared<Submission>();
+    job->id = JobId(fmt::format("{:08x}{:08x}", m_advisedRandom(), m_advisedRandom()));
+    job->path = "/advised/" + job->id.value();
+    job->maximumSubmitAttempts = MaximumSubmitAttempts;
+    const bool large = draw(0, 2) == 0;
+    job->steps = {{draw(1, 2), large ? 8 : 1, draw(200, 1000), 0, large && draw(0, 1) == 0, false}};
+    describe(*job);
+    m_platform.requireTickets(job->id);
+    return job;
+}
+
 std::vector<SoakCallers::StepShape> SoakCallers::drawSteps(bool &urgent)
 {
     const int workMs = drawInteger(300, 2500);
@@ -176,9 +206,15 @@
     job->wantsCancel = drawInteger(0, 9) == 0;
     job->maximumSubmitAttempts = drawInteger(1, MaximumSubmitAttempts);
     job->path = (urgent ? "/urgent/" : "/batch/") + job->id.value();
+    describe(*job);
+    return job;
+}
+
+void SoakCallers::describe(Submission &job)
+{
     Json steps = Json::array();
-    for (std::size_t s = 0; s < job->steps.size(); ++s) {
-        const StepShape &shape = job->steps[s];
+    for (std::size_t s = 0; s < job.steps.size(); ++s) {
+        const StepShape &shape = job.steps[s];
         Json step = {{"count", shape.tasks},
                      {"cpu", 2000},
                      {"mem_mb", 256},
@@ -196,10 +232,9 @@
         behaviour.gang = shape.gang;
         behaviour.gangSize = static_cast<std::size_t>(shape.tasks);
         behaviour.resources = {MilliCores(2000), MemoryMib(256), Accelerators(shape.accelerators)};
-        m_platform.workers.setBehaviour(job->id, s, behaviour);
+        m_platform.workers.setBehaviour(job.id, s, behaviour);
     }
-    job->body = Json{{"spec", payloadFor(job->id)}, {"steps", steps}}.dump();
-    return job;
+    job.body = Json{{"spec", payloadFor(job.id)}, {"steps", steps}}.dump();
 }
 
 HttpRequest SoakCallers::makeRequest(const std::string &method, const std::string &path, const std::string &body) const
--- a/unittests/Soak/SoakCallers.h
+++ b/unittests/Soak/SoakCallers.h
@@ -77,6 +77,11 @@
     /** Submits jobs that recur, can never be done, or fill and last, from random numbers of their own. */
     void submitNextUnusual();
     SubmissionPointer makeUnusualSubmission();
+    /** Submits jobs to a queue that needs advice, of which some need whole workers. */
+    void submitNextAdvised();
+    SubmissionPointer makeAdvisedSubmission();
+    /** Adds the body and the steps' behaviour to a job whose shape is known. */
+    void describe(Submission &job);
     SubmissionPointer makeSubmission();
     std::vector<StepShape> drawSteps(bool &urgent);
     void submit(const SubmissionPointer &job);
@@ -94,8 +99,9 @@
     SoakPlatform &m_platform;
     std::vector<std::string> m_nodeAddresses;
     std::mt19937 m_random;
-    /** Separate, so that unusual jobs do not change the other jobs of a seed. */
+    /** Separate, so that unusual and advised jobs do not change the other jobs of a seed. */
     std::mt19937 m_unusualRandom;
+    std::mt19937 m_advisedRandom;
     AsyncHttpClient m_client;
     std::map<JobId, SubmissionPointer> m_jobs;
     bool m_submitting = false;
--- a/unittests/Soak/SoakPlatform.cpp
+++ b/unittests/Soak/SoakPlatform.cpp
@@ -147,10 +147,15 @@
     , store(timeline, seed)
     , m_loop(loop)
     , m_advancedTo(systemClock().now())
-    , m_storeServer(loop, {}, [this](const HttpRequest &request, const AsyncHttpRespond &respond) {
-        serveStore(request, respond);
-    })
+    , m_storeServer(
+          loop,
+          {},
+          [this](const HttpRequest &request, const AsyncHttpRespond &respond) { serveStore(request, respond); })
+    , m_advisor(loop, timeline, workerCount)
 {
+    workers.ticketIsValid = [this](const WorkerId &worker, const StartOrder &order) {
+        return m_advisedJobs.count(order.task.job) == 0 || m_advisor.accepts(worker, order);
+    };
     TransportError error;
     EXPECT_TRUE(m_storeServer.listen("127.0.0.1:0", error)) << error.reason;
     for (int i = 0; i < workerCount; ++i) {
@@ -216,7 +221,7 @@
 {
     ++m_configurationVersion;
     Json routes = Json::array();
-    const auto addQueue = [&routes](const std::string &name, int priority, const std::string &path) {
+    const auto addQueue = [&routes](const std::string &name, int priority, const std::string &path, Json advice = {}) {
         routes.push_back({{"name", name},
                           {"host", Host},
                           {"prefix", "/" + path + "/"},
@@ -224,9 +229,16 @@
                           {"priority", priority},
                           {"max_attempts", FakeWorkers::MaximumAttempts},
                           {"stretch", 3},
+                          {"advice", std::move(advice)},
                           {"timeout_ms", 3000}});
     };
     addQueue("urgent", 0, "urgent");
+    addQueue("advised",
+             1,
+             "advised",
+             {{"decide_ms", SoakAdvisor::DecisionTime.count()},
+              {"each_ms", SoakAdvisor::TimePerWorker.count()},
+              {"valid_ms", SoakAdvisor::TicketTime.count()}});
     // Each version replaces the queue by one of another name, which must not keep accepted jobs from being finished.
     addQueue("batch" + std::to_string(m_configurationVersion), 2, "batch");
     for (int i = 1; i <= m_configurationVersion; ++i) {
@@ -260,11 +272,21 @@
     changeConfiguration();
 }
 
+void SoakPlatform::requireTickets(const JobId &job)
+{
+    m_advisedJobs.insert(job);
+}
+
 std::string SoakPlatform::newestQueuePrefix() const
 {
     return "/added" + std::to_string(m_configurationVersion) + "/";
 }
 
+std::string SoakPlatform::advisorAddress() const
+{
+    return m_advisor.address();
+}
+
 unsigned short SoakPlatform::storePort() const
 {
     return m_storeServer.port();
@@ -340,6 +362,7 @@
     order.run = run;
     order.payload = body.at("spec").get<std::string>();
     order.leaseUntil = WorkerClockMs(body.at("deadline_ms").get<std::int64_t>());
+    order.ticket = body.value("ticket", "");
     EXPECT_EQ(order.payload, payloadFor(task.job))
         << "UNASKED: wrong payload for task " << platform::encodeTaskName(task);
     workers.start(target, order, respondToOrder(respond));
--- a/unittests/Soak/SoakPlatform.h
+++ b/unittests/Soak/SoakPlatform.h
@@ -4,10 +4,12 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "Soak/LoopbackProxy.h"
+#include "Soak/SoakAdvisor.h"
 #include "Workflow/FakeRowStore.h"
 #include "Workflow/FakeWorkers.h"
 
@@ -39,10 +41,14 @@
     void endEvacuation(const DataCentreId &dataCentre);
     /** Sets the time limit for receiving a request and publishes the next version of the configuration. */
     void setReceiveTime(Duration limit);
+    /** Starts of the job need a ticket of the advice service. */
+    void requireTickets(const JobId &job);
     /** Path prefix of the queue that the newest configuration added. */
     std::string newestQueuePrefix() const;
 
     unsigned short storePort() const;
+    /** Address of the advice service. */
+    std::string advisorAddress() const;
 
     /** The proxy through which all nodes reach a worker. */
     LoopbackProxy &workerLink(std::size_t index);
@@ -74,6 +80,8 @@
     boost::asio::io_context &m_loop;
     MonotonicTime m_advancedTo;
     AsyncHttpServer m_storeServer;
+    SoakAdvisor m_advisor;
+    std::set<JobId> m_advisedJobs;
     std::vector<WorkerHost> m_hosts;
     int m_configurationVersion = 0;
     std::optional<Duration> m_receiveTime;
--- a/unittests/Soak/SoakTest.cpp
+++ b/unittests/Soak/SoakTest.cpp
@@ -51,8 +51,10 @@
         for (int i = 0; i < parameters.nodes; ++i) {
             SoakNode node;
             node.storeLink = std::make_unique<LoopbackProxy>(m_loop, m_platform.storePort());
-            node.process
-                = std::make_unique<NodeProcess>(m_directory, "n" + std::to_string(i), node.storeLink->address());
+            node.process = std::make_unique<NodeProcess>(m_directory,
+                                                         "n" + std::to_string(i),
+                                                         node.storeLink->address(),
+                                                         "advisor: " + m_platform.advisorAddress() + "\n");
             node.callerLink = std::make_unique<LoopbackProxy>(m_loop, node.process->callerPort());
             nodeAddresses.push_back(node.callerLink->address());
             m_nodes.push_back(std::move(node));
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -70,6 +70,9 @@
     {
         ++epoch;
         engine = std::make_unique<JobEngine>(times, timeline.clock(), Epoch(epoch), workers, [] {});
+        if (advisor != nullptr) {
+            engine->setAdvisor(advisor);
+        }
         engine->setCatalogue(catalogue);
         restore();
         for (const auto &[id, machine] : workers.machines()) {
@@ -166,6 +169,8 @@
     std::shared_ptr<const Catalogue> catalogue;
     std::unique_ptr<JobEngine> engine;
     std::optional<EngineBatch> batch;
+    /** Advisor of each owner; null if no queue needs advice. */
+    Advisor *advisor = nullptr;
     std::map<JobId, JobSpec> specs;
     std::int64_t epoch = 0;
     /** Whether the owner can read the reports of the workers. */
--- a/unittests/Workflow/ModelHistory.cpp
+++ b/unittests/Workflow/ModelHistory.cpp
@@ -36,13 +36,63 @@
             m_history.events.push_back(fault());
         }
         addUnusualJobs(jobs);
+        sortEvents();
+        return m_history;
+    }
+
+    ModelHistory generateAdvised()
+    {
+        m_history.advised = true;
+        const int count = 4 + draw(6);
+        m_history.workers.assign(static_cast<std::size_t>(count), {16, 8, 0, "a"});
+        for (std::size_t i = 0; i < m_history.workers.size(); ++i) {
+            m_history.workers[i].rack = static_cast<int>(i / 4);
+        }
+        std::size_t jobs = 0;
+        const auto add = [this, &jobs](int atMs, ModelJob job) {
+            m_history.events.push_back({.atMs = atMs, .subject = jobs++, .job = std::move(job)});
+        };
+        // Takes a part of each worker, so that none has room for a large job before it is cancelled at the end.
+        ModelStep lasting{.tasks = static_cast<std::size_t>(count), .accelerators = 1, .lasts = true};
+        lasting.maximumPerWorker = 1;
+        add(0, {.steps = {lasting}, .neverEnds = true});
+        const int large = 3 + draw(20);
+        const int largeAt = 2000 + draw(10000);
+        const int largePriority = draw(2);
+        for (int i = 0; i < large; ++i) {
+            ModelStep step{.tasks = 1 + static_cast<std::size_t>(draw(1)), .cores = 8, .accelerators = 8};
+            step.gang = draw(2) == 0;
+            step.workMs = step.estimateMs = 500 + draw(2000);
+            add(largeAt + draw(100), {.priority = largePriority, .steps = {step}});
+        }
+        const int ordinary = 6 + draw(10);
+        for (int i = 0; i < ordinary; ++i) {
+            add(draw(HistoryMs), job());
+        }
+        const int faults = draw(4);
+        for (int i = 0; i < faults; ++i) {
+            ModelEvent each = fault();
+            if (each.kind == ModelEventKind::CrashWorker) {
+                each.worker = m_history.workers[each.subject];
+            }
+            m_history.events.push_back(each);
+        }
+        if (draw(1) == 0) {
+            m_history.events.push_back(
+                {.atMs = draw(HistoryMs), .kind = ModelEventKind::SilentAdvisor, .lengthMs = draw(8000)});
+        }
+        sortEvents();
+        return m_history;
+    }
+
+private:
+    void sortEvents()
+    {
         std::stable_sort(m_history.events.begin(), m_history.events.end(), [](const auto &a, const auto &b) {
             return a.atMs < b.atMs;
         });
-        return m_history;
     }
 
-private:
     /** Jobs that recur many times, can never be done, fill or last, and queues that are removed; as further jobs, from
      * random numbers of their own, so that the rest of a seed's history is as it was before they were added. */
     void addUnusualJobs(int jobs)
@@ -208,6 +258,8 @@
         return "FaultyOrders";
     case ModelEventKind::RemoveQueue:
         return "RemoveQueue";
+    case ModelEventKind::SilentAdvisor:
+        return "SilentAdvisor";
     }
     return "";
 }
@@ -251,6 +303,11 @@
     return Generator(seed).generate();
 }
 
+ModelHistory generateAdvisedHistory(std::uint32_t seed)
+{
+    return Generator(seed).generateAdvised();
+}
+
 std::string printHistory(const ModelHistory &history)
 {
     std::ostringstream out;
@@ -268,7 +325,7 @@
         print(out, event.worker);
         out << "},";
     }
-    out << "}}";
+    out << "}, " << boolName(history.advised) << '}';
     return out.str();
 }
 
--- a/unittests/Workflow/ModelHistory.h
+++ b/unittests/Workflow/ModelHistory.h
@@ -52,6 +52,8 @@
     FaultyOrders,
     /** The queue of a priority is not configured for a while. */
     RemoveQueue,
+    /** The answers of the advisor are lost for a while. */
+    SilentAdvisor,
 };
 
 /** Something that happens to the scheduler at a time of the history. */
@@ -73,6 +75,8 @@
     std::uint32_t seed = 1;
     std::vector<ModelWorker> workers;
     std::vector<ModelEvent> events;
+    /** Whether all queues need advice. */
+    bool advised = false;
 };
 
 /** Length of the part of a history that has events. */
@@ -80,6 +84,9 @@
 
 ModelHistory generateHistory(std::uint32_t seed);
 
+/** A history in which all queues need advice, with large jobs that wait for whole workers beside the other jobs. */
+ModelHistory generateAdvisedHistory(std::uint32_t seed);
+
 /** The history as an expression of C++. */
 std::string printHistory(const ModelHistory &history);
 
--- a/unittests/Workflow/ModelTest.cpp
+++ b/unittests/Workflow/ModelTest.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <set>
 
+#include "Workflow/FakeAdvisor.h"
 #include "Workflow/ModelChecks.h"
 #include "Workflow/ModelHistory.h"
 
@@ -24,6 +25,9 @@
             m_harness.workers.add(workerId(i).value(), "", {});
             describe(i, history.workers[i]);
         }
+        if (history.advised) {
+            useAdvisor();
+        }
         m_harness.startOwner();
         m_harness.runFor(seconds(1));
     }
@@ -57,6 +61,27 @@
         return JobId("j" + std::to_string(number));
     }
 
+    /** Makes all queues need advice. A question takes a part of the time of the deployments, so that questions about
+     * all jobs of a history fit into the 3 s of the rule LOST; a ticket is valid for a shorter time in proportion. */
+    void useAdvisor()
+    {
+        m_advisor.approves = [](const StepKey &, const WorkerId &) {
+            return true;
+        };
+        m_advisor.decisionTime = milliseconds(60);
+        m_advisor.timePerWorker = milliseconds(4);
+        m_advisor.valid = milliseconds(700);
+        m_harness.advisor = &m_advisor;
+        m_harness.workers.ticketIsValid = [this](const WorkerId &worker, const StartOrder &order) {
+            return m_advisor.accepts(worker, order);
+        };
+        auto catalogue = std::make_shared<Catalogue>(*m_harness.catalogue);
+        for (QueueSpec &queue : catalogue->queues) {
+            queue.needsAdvice = true;
+        }
+        m_allQueues = m_harness.catalogue = catalogue;
+    }
+
     void describe(std::size_t number, const ModelWorker &worker)
     {
         WorkerReport &report = m_harness.workers.machines().at(workerId(number)).report;
@@ -106,8 +131,10 @@
             m_checks.trouble(end);
             if (m_harness.engine) {
                 const auto before = reservedByRuns();
-                m_harness.endOwner(event.subject == 1);
+                // An owner that lingers goes on asking as the machine that it is.
+                m_harness.endOwner(event.subject == 1 && !m_history.advised);
                 atEnd([this, before] {
+                    m_advisor.changeCaller();
                     m_harness.startOwner();
                     m_checks.restored(before, reservedByRuns());
                 });
@@ -117,6 +144,14 @@
             setQueueRemoved(static_cast<int>(event.subject), true);
             atEnd([this, priority = static_cast<int>(event.subject)] { setQueueRemoved(priority, false); });
             break;
+        case ModelEventKind::SilentAdvisor:
+            // An answer that is lost is waited for for some seconds.
+            m_checks.trouble(end + seconds(5));
+            m_advisor.losesAnswer = [](const StepKey &) {
+                return true;
+            };
+            atEnd([this] { m_advisor.losesAnswer = {}; });
+            break;
         case ModelEventKind::FaultyOrders:
             // An order may be carried out 12 s after it was sent.
             m_checks.lateOrders(end + seconds(12));
@@ -229,6 +264,7 @@
     const ModelHistory &m_history;
     EngineHarness m_harness;
     ModelChecks m_checks;
+    FakeAdvisor m_advisor{m_harness.timeline};
     std::shared_ptr<const Catalogue> m_allQueues = m_harness.catalogue;
     std::set<QueueName> m_removedQueues;
 };
@@ -274,14 +310,9 @@
     return text == nullptr ? 1 : std::atoi(text);
 }
 
-class EngineModel : public ::testing::TestWithParam<int>
-{
-};
-
-// Guards against every broken rule of ModelChecks and FakeWorkers, on unlike workers and with several faults at once.
-TEST_P(EngineModel, keepsTheRules)
+/** Fails if the engine breaks a rule in @p history, and shows the smallest history found that breaks it. */
+void expectRulesKept(const ModelHistory &history)
 {
-    const ModelHistory history = generateHistory(static_cast<std::uint32_t>(GetParam()));
     const std::string failure = firstFailure(history);
     if (!failure.empty()) {
         const ModelHistory small = shrink(history, failure);
@@ -290,10 +321,35 @@
     }
 }
 
+class EngineModel : public ::testing::TestWithParam<int>
+{
+};
+
+// Guards against every broken rule of ModelChecks and FakeWorkers, on unlike workers and with several faults at once.
+TEST_P(EngineModel, keepsTheRules)
+{
+    expectRulesKept(generateHistory(static_cast<std::uint32_t>(GetParam())));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, EngineModel, ::testing::Range(firstSeed(), firstSeed() + 100), [](const auto &info) {
     return "seed" + std::to_string(info.param);
 });
 
+class AdvisedModel : public ::testing::TestWithParam<int>
+{
+};
+
+// Guards against a job that does not start because the advisor is asked only about others, see incident 028, on top of
+// what EngineModel guards against.
+TEST_P(AdvisedModel, keepsTheRules)
+{
+    expectRulesKept(generateAdvisedHistory(static_cast<std::uint32_t>(GetParam())));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, AdvisedModel, ::testing::Range(firstSeed(), firstSeed() + 40), [](const auto &info) {
+    return "seed" + std::to_string(info.param);
+});
+
 // Guards against a job that stands still although its workers are idle: its tasks fail twice through their own fault,
 // and both workers that have accelerators are avoided for that. From seed 26.
 TEST(KeptHistory, jobWhoseTasksFailOnAllWorkersThatFitGoesOn)
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -312,7 +312,10 @@
     need.service = worker.report.service;
     std::size_t kept = 0;
     for (std::size_t k = 0; k < 500; ++k) {
-        cache.ask({JobId("j"), k, 0}, PlacementBoard(workers, harness.timeline.now()), need);
+        const PlacementBoard board(workers, harness.timeline.now());
+        cache.beginPart();
+        cache.propose({{JobId("j"), k, 0}, {}, need, {}, false}, board);
+        EXPECT_TRUE(cache.askFirst(board));
         harness.runFor(seconds(1));
     }
     for (std::size_t k = 0; k < 500; ++k) {
