Workflow: a job counts as waiting until a run is known to have begun

Cause: the change that stores the first start of a job also showed it as running and removed its row of waiting jobs, before a worker had begun anything. For a start that is not answered, the row came back only when all leases of the worker had ended. A new owner took each job with a stored start for running.

Why this works: a job is shown as running once a worker accepted a start, or lists a run or its end. The progress that is stored with this says so, and a new owner reads it. Progress of earlier versions does not say it: the job is shown as queued unless the progress proves that a task began, until its worker lists a run. coriander_term_runs counts sent starts and runs that have begun apart, and job-begun names the evidence.

Tests that changed: RestoredRun.jobWhoseStartWasNotCarriedOutWaitsAgain asserted the fault as its first state, and now expects the job to wait there; Engine.jobWhoseStartsAreRefusedWaits checks the first second too; two expectations of PlanningLoad.rowsOfOneJobDoNotKeepOutThoseOfOthers name the first row of the same jobs, which is progress now.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -98,6 +98,8 @@
 /** Counts of events since the term began. */
 struct EngineCounts {
     std::size_t startsSent = 0;
+    /** Runs of this term that are known to have begun. */
+    std::size_t runsBegun = 0;
     std::size_t preempted = 0;
     std::size_t moved = 0;
     /** Runs stopped because their worker was about to leave. */
@@ -278,10 +280,9 @@
     // JobEngine.cpp
     void markDirty(const TaskKey &key);
     void markState(Job &job, JobState state);
-    /** Called when a run of the job is known to have begun. */
-    void markBegun(Job &job);
-    /** Shows the job as waiting again if none of its runs has begun and none may exist any more. */
-    void returnToQueue(Job &job);
+    /** Called when a run is known to have begun; @p evidence says how, for the log. A job that was not known to have
+     * begun is then shown as running. */
+    void markBegun(const RunKey &key, const char *evidence);
     void completeIfDone(Job &job);
     void failJob(Job &job, const TaskKey &task);
     void stopJob(const Job &job);
@@ -327,6 +328,8 @@
     EndEffect effectOf(const Worker &worker, const RunKey &key, EndKind kind) const;
     void runEnded(
         Worker &worker, const RunKey &key, EndKind kind, EndEffect effect, const std::string &checkpoint = {});
+    /** Called when the worker accepted the start of a run, or lists the run or its end. */
+    void runBegun(Worker &worker, const RunKey &key, const char *evidence);
     void runGone(Worker &worker, const RunKey &key, const char *cause);
     void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
     /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs other than @p run. */
--- a/include/corianderscale/Workflow/JobTable.h
+++ b/include/corianderscale/Workflow/JobTable.h
@@ -111,12 +111,8 @@
     JobState state = JobState::Queued;
     /** Workers on which a run of the job failed in this term. */
     std::set<WorkerId> failedOn;
-    /** Whether a run was placed; the job then no longer counts as waiting, unless the run turned out not to exist. */
-    bool started = false;
-    /** Whether a run is known to have begun. */
+    /** Whether a run is known to have begun; until then the job is shown as queued and counts as waiting. */
     bool begun = false;
-    /** Whether a start was given up before any run had begun; the job then counts as waiting until one has. */
-    bool startGivenUp = false;
     bool stateDirty = false;
     /** When this owner learnt of the job, which is after the job was accepted. */
     MonotonicTime learntAt;
--- a/include/corianderscale/Workflow/Records.h
+++ b/include/corianderscale/Workflow/Records.h
@@ -109,6 +109,8 @@
     std::vector<StepRecord> steps;
     /** Whether the job has failed and its runs are only waited for. */
     bool jobFailed = false;
+    /** Whether a run of the job was known to have begun. Earlier versions did not store this. */
+    bool jobBegun = false;
 };
 
 /** @name Encoding as CBOR; decoding returns no value and the reason if the bytes are not a valid record */
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -33,6 +33,8 @@
     MonotonicTime startCallEndedAt;
     /** Whether an earlier owner placed the run; the worker ignores that owner's orders once it has seen this epoch. */
     bool earlierTerm = false;
+    /** Whether the run is known to have begun. */
+    bool begun = false;
     /** Whether the worker has listed the run as running. */
     bool seenRunning = false;
     /** When the worker first listed the run as running. */
--- a/lib/Workflow/JobEngine.cpp
+++ b/lib/Workflow/JobEngine.cpp
@@ -198,7 +198,12 @@
             continue;
         }
         if (!isFinal(job.state)) {
-            job.state = job.started ? JobState::Running : JobState::Queued;
+            job.state = job.begun ? JobState::Running : JobState::Queued;
+            if (!job.begun) {
+                // Earlier versions showed a job as running once a start was stored.
+                job.stateDirty = true;
+                m_dirtyJobs.insert(id);
+            }
         }
         for (const auto &[index, tasks] : job.openSteps()) {
             for (const auto &[i, task] : tasks.states()) {
@@ -293,22 +298,26 @@
     m_dirtyJobs.insert(job.spec.id);
 }
 
-void JobEngine::markBegun(Job &job)
+void JobEngine::markBegun(const RunKey &key, const char *evidence)
 {
-    job.begun = true;
-    if (!isFinal(job.state)) {
-        markState(job, JobState::Running);
-    }
-}
-
-void JobEngine::returnToQueue(Job &job)
-{
-    if (job.begun || isFinal(job.state) || job.assignedCount() > 0) {
+    Job *job = findJobOf(key.first);
+    if (job == nullptr || job->begun) {
         return;
     }
-    job.startGivenUp = true;
-    job.started = false;
-    markState(job, JobState::Queued);
+    job->begun = true;
+    logEvent(LogLevel::Info,
+             "job-begun",
+             {{"job", job->spec.id},
+              {"task", toString(key.first)},
+              {"run", key.second},
+              {"evidence", evidence},
+              {"state", jobStateName(job->state)},
+              {"age_ms", toUnixMs(m_clock.wallNow()) - toUnixMs(job->spec.acceptedAt)}});
+    if (!isFinal(job->state)) {
+        // The next owner reads from the progress that the job has begun.
+        markDirty(key.first);
+        markState(*job, JobState::Running);
+    }
 }
 
 void JobEngine::completeIfDone(Job &job)
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -183,9 +183,7 @@
     worker->nextHoldAt = std::min(worker->nextHoldAt, now);
     if (answer.outcome == OrderOutcome::Done) {
         found->second.start = StartState::Accepted;
-        if (Job *job = findJobOf(key.first)) {
-            markBegun(*job);
-        }
+        runBegun(*worker, key, "start accepted");
         return;
     }
     logEvent(LogLevel::Info,
--- a/lib/Workflow/JobEnginePlan.cpp
+++ b/lib/Workflow/JobEnginePlan.cpp
@@ -554,10 +554,6 @@
     job.waitingSince.erase({candidate.occurrence, candidate.step});
     job.dirtyOccurrences.insert(candidate.occurrence);
     m_dirtyJobs.insert(job.spec.id);
-    job.started = true;
-    if (!job.startGivenUp) {
-        markState(job, JobState::Running);
-    }
     logEvent(LogLevel::Info,
              "tasks-placed",
              {{"job", job.spec.id},
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -3,6 +3,7 @@
 #include "corianderscale/Workflow/JobEngine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace coriander::workflow {
 
@@ -79,6 +80,15 @@
     }
 }
 
+void JobEngine::runBegun(Worker &worker, const RunKey &key, const char *evidence)
+{
+    const auto run = worker.runs.find(key);
+    if (run != worker.runs.end() && !run->second.earlierTerm && !std::exchange(run->second.begun, true)) {
+        ++m_counts.runsBegun;
+    }
+    markBegun(key, evidence);
+}
+
 void JobEngine::runGone(Worker &worker, const RunKey &key, const char *cause)
 {
     logEvent(LogLevel::Info,
@@ -86,9 +96,6 @@
              {{"task", toString(key.first)}, {"run", key.second}, {"worker", worker.report.id}, {"cause", cause}});
     // LeaseLapsed stands for every cause: the task waits again and no failure is counted.
     runEnded(worker, key, EndKind::LeaseLapsed, effectOf(worker, key, EndKind::LeaseLapsed));
-    if (Job *job = findJobOf(key.first)) {
-        returnToQueue(*job);
-    }
 }
 
 void JobEngine::taskEnded(
@@ -331,9 +338,7 @@
             ++m_counts.completedAfterGivenUp;
         }
         recordHealth(worker, end);
-        if (Job *job = findJobOf(end.task)) {
-            markBegun(*job);
-        }
+        runBegun(worker, {end.task, end.run}, "listed as ended");
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
             worker.jobsOfFailures.clear();
@@ -409,9 +414,11 @@
             if (const Job *job = findJobOf(each.task); job != nullptr) {
                 orphan.resources = job->step(each.task).reservedResources();
             }
+            orphan.begun = true;
             orphan.stopWanted = true;
             orphan.nextStopAt = now;
             m_workers.addRun(worker, orphan);
+            markBegun(key, "listed as running");
             raiseRunNumber(each.task, each.run);
             logEvent(LogLevel::Warning,
                      "run-not-wanted",
@@ -421,9 +428,7 @@
         Run &run = found->second;
         if (!run.seenRunning) {
             run.seenRunning = true;
-            if (Job *job = findJobOf(each.task)) {
-                markBegun(*job);
-            }
+            runBegun(worker, key, "listed as running");
             run.runningSince = now;
             run.progressedAt = now;
             run.sampledAt = now;
--- a/lib/Workflow/JobTable.cpp
+++ b/lib/Workflow/JobTable.cpp
@@ -309,6 +309,7 @@
         }
     }
     record.jobFailed = state == JobState::Failed;
+    record.jobBegun = begun;
     return record;
 }
 
@@ -335,6 +336,7 @@
     if (!matches(record)) {
         return false;
     }
+    begun = begun || record.jobBegun;
     for (std::size_t s = 0; s < record.steps.size(); ++s) {
         const StepRecord &stored = record.steps[s];
         const StepIndex index{occurrence, s};
@@ -357,7 +359,6 @@
             begun = begun || task.failures > 0 || !task.checkpoint.empty();
         }
         begun = begun || stored.done || !stored.doneTasks.empty();
-        started = started || begun || !stored.tasks.empty();
     }
     if (record.jobFailed) {
         state = JobState::Failed;
--- a/lib/Workflow/NodeMetrics.cpp
+++ b/lib/Workflow/NodeMetrics.cpp
@@ -97,7 +97,8 @@
     }
     if (readings.engine != nullptr) {
         const EngineCounts &counts = readings.engine->counts();
-        m_runs.Add({{"event", "started"}}).Set(static_cast<double>(counts.startsSent));
+        m_runs.Add({{"event", "start-sent"}}).Set(static_cast<double>(counts.startsSent));
+        m_runs.Add({{"event", "started"}}).Set(static_cast<double>(counts.runsBegun));
         m_runs.Add({{"event", "preempted"}}).Set(static_cast<double>(counts.preempted));
         m_runs.Add({{"event", "evacuated"}}).Set(static_cast<double>(counts.evacuated));
         m_runs.Add({{"event", "moved"}}).Set(static_cast<double>(counts.moved));
--- a/lib/Workflow/Records.cpp
+++ b/lib/Workflow/Records.cpp
@@ -360,7 +360,11 @@
     for (const StepRecord &step : record.steps) {
         steps.push_back(stepRecordToJson(step, workers));
     }
-    return toBytes({{"w", workers.toJson()}, {"s", std::move(steps)}, {"f", record.jobFailed}});
+    Json value = {{"w", workers.toJson()}, {"s", std::move(steps)}, {"f", record.jobFailed}};
+    if (record.jobBegun) {
+        value["b"] = true;
+    }
+    return toBytes(value);
 }
 
 std::optional<OccurrenceRecord> decodeOccurrence(const std::string &bytes, ProtocolError &error)
@@ -371,6 +375,7 @@
             OccurrenceRecord record;
             const Json &workers = value.at("w");
             record.jobFailed = value.at("f").get<bool>();
+            record.jobBegun = value.value("b", false);
             for (const Json &step : value.at("s")) {
                 record.steps.push_back(stepRecordFromJson(step, workers));
             }
--- a/unittests/Soak/SoakCallers.cpp
+++ b/unittests/Soak/SoakCallers.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 #include "Soak/CallAfter.h"
 #include "platform/Names.h"
 
@@ -20,6 +22,10 @@
 constexpr int MaximumSubmitAttempts = 4;
 /** Contract: time from the answer to a submission until every node knows the accepted job. */
 constexpr auto VisibilityLimit = std::chrono::milliseconds(3000);
+/** Contract: age of the number of waiting jobs, and the time after which a job of it must be counted. */
+constexpr auto WaitingAge = std::chrono::milliseconds(2000);
+/** Interval between questions for the number of waiting jobs. */
+constexpr auto WaitingPollInterval = std::chrono::milliseconds(100);
 /** Contract: 3 s from the answer to a cancel until the last start, plus 12 s by which workers may execute orders late.
  */
 constexpr auto CancelledStartLimit = std::chrono::seconds(15);
@@ -60,6 +66,9 @@
     submitNext();
     submitNextUnusual();
     submitNextAdvised();
+    // The queue of /batch/ is replaced in the course of a run, and the new one has only its own jobs.
+    pollWaiting("/urgent/");
+    pollWaiting("/advised/");
 }
 
 void SoakCallers::stopSubmitting()
@@ -111,6 +120,7 @@
     job->path = (draw(0, 2) == 0 ? "/urgent/" : "/batch/") + job->id.value();
     job->maximumSubmitAttempts = MaximumSubmitAttempts;
     job->neverEnds = true;
+    job->runsOnce = false;
     const std::int64_t nowMs = toUnixMs(systemClock().wallNow());
     Json body = {{"spec", payloadFor(job->id)}};
     FakeWorkers::TaskBehaviour behaviour;
@@ -368,7 +378,8 @@
 {
     const auto found = m_jobs.find(task.job);
     ASSERT_TRUE(found != m_jobs.end()) << "UNASKED: unknown job of task " << toString(task);
-    const Submission &job = *found->second;
+    Submission &job = *found->second;
+    job.begun = true;
     EXPECT_FALSE(job.refused) << "REFUSED: " << toString(task) << " started although every submission was rejected";
     if (job.cancelledAt) {
         EXPECT_LT(m_platform.timeline.now() - *job.cancelledAt, CancelledStartLimit)
@@ -382,6 +393,42 @@
     }
 }
 
+std::vector<SoakCallers::SubmissionPointer> SoakCallers::jobsThatCountAsWaiting(const std::string &prefix) const
+{
+    std::vector<SubmissionPointer> counted;
+    for (const auto &[id, job] : m_jobs) {
+        const bool old = job->acceptedAt && m_platform.timeline.now() > *job->acceptedAt + VisibilityLimit + WaitingAge;
+        if (old && job->runsOnce && !job->begun && !job->wantsCancel && job->path.find(prefix) == 0) {
+            counted.push_back(job);
+        }
+    }
+    return counted;
+}
+
+void SoakCallers::pollWaiting(const std::string &prefix)
+{
+    const std::vector<SubmissionPointer> counted = jobsThatCountAsWaiting(prefix);
+    const auto handle = [this, prefix, counted](const auto &response, const TransportError &) {
+        if (response && response->status == 200) {
+            checkWaiting(prefix, counted, *response);
+        }
+        callAfter(m_loop, WaitingPollInterval, [this, prefix] { pollWaiting(prefix); });
+    };
+    const std::string &node = m_nodeAddresses[m_waitingPolls++ % m_nodeAddresses.size()];
+    m_client.send(node, makeRequest("GET", prefix, ""), CallTimeout, handle);
+}
+
+void SoakCallers::checkWaiting(const std::string &prefix,
+                               const std::vector<SubmissionPointer> &countedJobs,
+                               const HttpResponse &response) const
+{
+    const auto waiting = Json::parse(response.body).at("waiting").get<std::int64_t>();
+    const auto notBegun = std::count_if(
+        countedJobs.begin(), countedJobs.end(), [](const SubmissionPointer &job) { return !job->begun; });
+    EXPECT_GE(2 * waiting, notBegun) << "MIXED: " << prefix << " has " << waiting << " waiting jobs, but of "
+                                     << notBegun << " no task has begun";
+}
+
 bool SoakCallers::hasObservedAllFinalStates() const
 {
     return listJobsWithoutFinalState().empty();
--- a/unittests/Soak/SoakCallers.h
+++ b/unittests/Soak/SoakCallers.h
@@ -69,6 +69,10 @@
         std::optional<MonotonicTime> acceptedAt;
         std::optional<MonotonicTime> cancelledAt;
         bool wantsCancel = false;
+        /** Whether a task of the job has begun. */
+        bool begun = false;
+        /** Whether the job has no due times, so that the rule on waiting jobs counts it. */
+        bool runsOnce = true;
         std::string finalState;
     };
     using SubmissionPointer = std::shared_ptr<Submission>;
@@ -89,6 +93,14 @@
     void pollState(const SubmissionPointer &job);
     void handleStateResponse(const SubmissionPointer &job, const std::optional<HttpResponse> &response);
     void cancel(const SubmissionPointer &job);
+    /** Asks a node for the number of waiting jobs of a queue, again and again. */
+    void pollWaiting(const std::string &prefix);
+    /** Checks that number. @p countedJobs are those that had to count when the node was asked. */
+    void checkWaiting(const std::string &prefix,
+                      const std::vector<SubmissionPointer> &countedJobs,
+                      const HttpResponse &response) const;
+    /** The jobs of a queue that were accepted long enough ago to be counted and of which no task has begun. */
+    std::vector<SubmissionPointer> jobsThatCountAsWaiting(const std::string &prefix) const;
     void checkTaskStart(const workflow::TaskKey &task);
     void checkFinalState(const Submission &job) const;
     void send(const std::string &method, const std::string &path, const std::string &body, AsyncHttpCompletion done);
@@ -102,6 +114,7 @@
     /** Separate, so that unusual and advised jobs do not change the other jobs of a seed. */
     std::mt19937 m_unusualRandom;
     std::mt19937 m_advisedRandom;
+    std::size_t m_waitingPolls = 0;
     AsyncHttpClient m_client;
     std::map<JobId, SubmissionPointer> m_jobs;
     bool m_submitting = false;
--- a/unittests/Workflow/EngineHarness.h
+++ b/unittests/Workflow/EngineHarness.h
@@ -132,7 +132,13 @@
             workers.setBehaviour(spec.id, s, behaviour);
         }
         specs[spec.id] = spec;
-        store.apply({{}, {{JobsTable, spec.id.value(), encodeJob(spec), {}, false}}, {}});
+        // What JobIntake stores.
+        const StateRecord state{JobState::Queued, spec.queue, spec.organisation, spec.acceptedAt};
+        store.apply({{},
+                     {{JobsTable, spec.id.value(), encodeJob(spec), {}, false},
+                      {StatesTable, spec.id.value(), encodeState(state), {}, false},
+                      {WaitingTable, waitingKey(spec.queue, spec.id), "", {}, false}},
+                     {}});
         if (engine) {
             engine->addJob(spec);
         }
--- a/unittests/Workflow/JobEngineTest.cpp
+++ b/unittests/Workflow/JobEngineTest.cpp
@@ -393,10 +393,8 @@
     m_harness.workers.ticketIsValid = [](const WorkerId &, const StartOrder &) {
         return false;
     };
-    m_harness.store.apply({{}, {{WaitingTable, waiting, "", {}, false}}, {}});
     m_harness.submit(m_harness.job("j", 1, {stepOf(1, 1, 1)}), {.work = seconds(1)});
-    m_harness.runFor(seconds(1));
-    for (int i = 0; i < 500; ++i) {
+    for (int i = 0; i < 600; ++i) {
         m_harness.runFor(milliseconds(10));
         ASSERT_NE(m_harness.store.find(WaitingTable, waiting), nullptr);
     }
--- a/unittests/Workflow/ModelChecks.cpp
+++ b/unittests/Workflow/ModelChecks.cpp
@@ -10,6 +10,8 @@
 /** The span of the rule LOST, and the span before it that has to be calm. */
 constexpr Duration LostTime = seconds(3);
 constexpr Duration CalmBefore = seconds(4);
+/** Age that the shown number of waiting jobs may have. */
+constexpr Duration WaitingAge = seconds(2);
 /** Time after its last run from which the rule LOST holds for a task that lasts. */
 constexpr Duration LastingAbsence = seconds(6);
 /** Time after the acknowledgement of a cancel from which no task of the job starts. */
@@ -90,7 +92,7 @@
 
 void ModelChecks::submitted(const JobSpec &spec, bool mayFail)
 {
-    m_jobs[spec.id] = {spec, mayFail, {}, {}, {}};
+    m_jobs[spec.id] = {spec, mayFail, {}, {}, {}, {}, false};
 }
 
 void ModelChecks::cancelled(const JobId &job)
@@ -112,6 +114,7 @@
     }
     for (auto &[id, job] : m_jobs) {
         checkState(job);
+        checkWaiting(job);
         checkLost(job, calmAndHalfEmpty);
         checkLasting(job, running);
     }
@@ -148,7 +151,8 @@
         fail("UNASKED", toString(task) + " was not submitted");
         return;
     }
-    const Known &job = found->second;
+    Known &job = found->second;
+    job.begunAt = job.begunAt.value_or(m_harness.timeline.now());
     const StepSpec &step = job.spec.steps.at(task.step);
     if (!isReady(job, task.occurrence, task.step)) {
         fail("ORDER", toString(task) + " starts before the steps that it depends on are done");
@@ -196,6 +200,29 @@
     }
 }
 
+void ModelChecks::checkWaiting(Known &job)
+{
+    const auto state = m_harness.storedState(job.spec.id);
+    if (!state || isFinal(*state) || job.cancelledAt) {
+        return;
+    }
+    const std::string name = "job " + job.spec.id.value();
+    const bool waits = m_harness.store.find(WaitingTable, waitingKey(job.spec.queue, job.spec.id)) != nullptr;
+    if (waits != (state == JobState::Queued)) {
+        fail("MIXED", name + " is shown as " + jobStateName(*state) + (waits ? " and" : " but not") + " as waiting");
+    }
+    if (!waits && !job.begunAt) {
+        fail("MIXED", name + " does not count as waiting although none of its tasks has begun");
+    }
+    if (waits && job.shownRunning) {
+        fail("MIXED", name + " counts as waiting again after it was shown as running");
+    }
+    job.shownRunning = !waits;
+    if (waits && job.begunAt && isCalm(CalmBefore) && m_harness.timeline.now() > *job.begunAt + WaitingAge) {
+        fail("MIXED", name + " counts as waiting although one of its tasks began 2 s ago");
+    }
+}
+
 void ModelChecks::checkLost(Known &job, bool calmAndHalfEmpty)
 {
     const auto state = m_harness.storedState(job.spec.id);
--- a/unittests/Workflow/ModelChecks.h
+++ b/unittests/Workflow/ModelChecks.h
@@ -56,12 +56,18 @@
         std::optional<MonotonicTime> lostSince;
         /** Tasks that last and do not run. */
         std::map<TaskKey, Absence> absent;
+        /** When the first task of the job began. */
+        std::optional<MonotonicTime> begunAt;
+        /** Whether the job was shown as running. */
+        bool shownRunning = false;
     };
 
     void checkStart(const TaskKey &task, std::int64_t run);
     void checkLost(Known &job, bool calmAndHalfEmpty);
     void checkLasting(Known &job, const std::set<TaskKey> &running);
     void checkState(const Known &job);
+    /** Checks that a job counts as waiting until one of its tasks has begun, and no longer than callers may see. */
+    void checkWaiting(Known &job);
     bool isDone(const Known &job, std::size_t occurrence, std::size_t step) const;
     bool isReady(const Known &job, std::size_t occurrence, std::size_t step) const;
     bool isDue(const Known &job, std::size_t occurrence) const;
--- a/unittests/Workflow/PlanningLoadTest.cpp
+++ b/unittests/Workflow/PlanningLoadTest.cpp
@@ -255,9 +255,9 @@
     m_harness.submit(m_harness.job("b-ordinary", 1, {stepOf(1, 1, 0)}), {.work = seconds(1)});
     m_harness.engine->step();
     ChangeLimits limits;
-    EXPECT_EQ(m_harness.engine->takeBatch(limits).written.front().key, "a-schedule");
+    EXPECT_EQ(m_harness.engine->takeBatch(limits).written.front().key, progressKey(JobId("a-schedule"), 0));
     const EngineBatch second = m_harness.engine->takeBatch(limits);
-    EXPECT_EQ(second.written.front().key, "b-ordinary");
+    EXPECT_EQ(second.written.front().key, progressKey(JobId("b-ordinary"), 0));
 }
 
 // Guards against starts and ends that wait until the rows of thousands of jobs have the new policy of their queue.
--- a/unittests/Workflow/RestoredRunTest.cpp
+++ b/unittests/Workflow/RestoredRunTest.cpp
@@ -113,8 +113,10 @@
     m_harness.workers.faults.requestLost = 1;
     m_harness.submit(m_harness.job("job", 1, {stepOf(1, 1, 0)}), {.work = seconds(1)});
     m_harness.runFor(milliseconds(200));
-    ASSERT_EQ(m_harness.storedState(JobId("job")), JobState::Running);
+    ASSERT_EQ(m_harness.engine->counts().startsSent, 1U);
     ASSERT_EQ(m_harness.workers.starts({JobId("job"), 0, 0, 0}), 0U);
+    EXPECT_EQ(m_harness.storedState(JobId("job")), JobState::Queued);
+    EXPECT_NE(m_harness.store.find(WaitingTable, waitingKey(QueueName("q1"), JobId("job"))), nullptr);
     m_harness.workers.faults = {};
     replaceOwner();
     m_harness.engine->pausePlacing(m_harness.timeline.now() + seconds(3));
