Decision: questions to a slow advisor fit into the time of their tickets

Cause: the time limit went back to its first value after each answer, so a slow advisor missed every other one, and the answer in between found its tickets expired behind the question that was given up. A question always named as many workers, however long the advisor took for each.

Evidence: worked out from the times of FakeAdvisor, which handles one question at a time as the platform's service does; the test was written with the change and not played without it.

Why this works: decision::AdvicePace lowers the time limit only when an answer would have kept the lower one with ease, bounds it by 5 s, and halves the size of questions while answers take more than half of the time for which they are valid. A gang still asks about all its workers at once.

--- a/include/corianderscale/Decision/AdviceTurns.h
+++ b/include/corianderscale/Decision/AdviceTurns.h
@@ -56,25 +56,4 @@
     std::size_t m_questions = 0;
 };
 
-/** Maximum number of workers that the advisor accepts in a question. */
-constexpr std::size_t MaximumAdviceWorkers = 100;
-
-/** What decides the number of workers in a question. */
-struct AdviceNeed {
-    /** Number of workers that the step would use and needs an answer about. */
-    std::size_t workers = 0;
-    /** Whether the step needs all of them at the same time. */
-    bool together = false;
-    /** Whether other steps wait for an answer that lets them start. */
-    bool othersWait = false;
-};
-
-/** Maximum number of workers in a question. A question about more workers takes longer, so it names few while other
- * steps wait. */
-std::size_t workersPerQuestion(const AdviceNeed &need);
-
-/** How long to wait for an answer about @p workers workers after @p unanswered questions in a row without an answer.
- * Increases with them, because the advisor may be slow. */
-Duration adviceTimeLimit(std::size_t workers, std::size_t unanswered);
-
 } // namespace coriander::decision
--- a/include/corianderscale/Workflow/AdviceCache.h
+++ b/include/corianderscale/Workflow/AdviceCache.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Decision/AdvicePace.h"
 #include "corianderscale/Decision/AdviceTurns.h"
 #include "corianderscale/Support/Time.h"
 #include "corianderscale/Workflow/Advisor.h"
@@ -119,6 +120,7 @@
     Advisor *m_advisor = nullptr;
     std::map<StepKey, StepAdvice> m_advice;
     decision::AdviceTurns m_turns;
+    decision::AdvicePace m_pace;
     /** The question that comes first among those proposed, and the number of those that let a step start. */
     std::optional<AdviceQuestion> m_first;
     std::size_t m_proposedStarts = 0;
--- a/include/corianderscale/Workflow/Advisor.h
+++ b/include/corianderscale/Workflow/Advisor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "corianderscale/Decision/AdvicePace.h"
 #include "corianderscale/Workflow/JobSpec.h"
 #include "corianderscale/Workflow/WorkerMessages.h"
 
--- a/lib/Workflow/AdviceCache.cpp
+++ b/lib/Workflow/AdviceCache.cpp
@@ -186,7 +186,7 @@
     m_first.reset();
     const bool othersWait = m_proposedStarts > 1;
     std::vector<WorkerId> workers = neededWorkers(question, board);
-    const std::size_t most = decision::workersPerQuestion({workers.size(), question.gang, othersWait});
+    const std::size_t most = m_pace.workersPerQuestion({workers.size(), question.gang, othersWait});
     for (const WorkerId &further : furtherWorkers(question, board, othersWait)) {
         if (workers.size() < most && std::find(workers.begin(), workers.end(), further) == workers.end()) {
             workers.push_back(further);
@@ -215,7 +215,7 @@
          {"startable_steps", m_proposedStarts}});
     m_advisor->ask(question.step,
                    workers,
-                   decision::adviceTimeLimit(workers.size(), m_unanswered),
+                   m_pace.timeLimit(workers.size()),
                    [this, alive = std::weak_ptr<int>(m_alive), step = question.step, asked, now](
                        const std::optional<Advice> &advice, const std::string &reason) {
                        if (alive.lock()) {
@@ -234,10 +234,12 @@
     m_questionInFlight = false;
     if (advice) {
         m_unanswered = 0;
+        m_pace.answered(asked.size(), m_clock.now() - sentAt, advice->valid);
         m_nextAskInAdvanceAt = m_clock.now();
         storeAdvice(step, asked, sentAt, *advice);
     } else {
         ++m_unanswered;
+        m_pace.unanswered();
         m_nextAskAt = m_clock.now() + FailedQuestionPause;
         m_nextAskInAdvanceAt = m_clock.now() + FailedAdvancePause;
         logEvent(LogLevel::Warning,
--- a/unittests/Workflow/SharedAdvisorTest.cpp
+++ b/unittests/Workflow/SharedAdvisorTest.cpp
@@ -163,6 +163,20 @@
     EXPECT_EQ(starts("small"), 1U);
 }
 
+// Guards against an advisor that has become so slow that its answers miss the time limit or arrive with expired
+// tickets, and that no job can start then.
+TEST_F(SharedAdvisor, jobsStartWhileTheAdvisorIsSlow)
+{
+    for (const auto &[decision, perWorker] : {std::pair(2000, 20), std::pair(200, 150)}) {
+        m_advisor.decisionTime = milliseconds(decision);
+        m_advisor.timePerWorker = milliseconds(perWorker);
+        const std::string id = fmt::format("small-{}-{}", decision, perWorker);
+        submitSmallJob(id, 1);
+        m_harness.runFor(seconds(15));
+        EXPECT_EQ(starts(id), 1U) << id;
+    }
+}
+
 // Guards against a job of very many tasks that needs the advisor all the time, so that the job behind it is not asked
 // about until the other has no tasks left to start.
 TEST_F(SharedAdvisor, jobOfManyTasksLeavesTimeOfTheAdvisorToOthers)
