--- a/unittests/Workflow/WaitingJobsTest.cpp
+++ b/unittests/Workflow/WaitingJobsTest.cpp
@@ -13,7 +13,7 @@
     WaitingJobs()
     {
         m_harness.addWorkers(6);
-        m_harness.workers.machines().at(Only).report.labels = {"only"};
+        m_harness.workers.machines().at(m_only).report.labels = {"only"};
         m_harness.startOwner();
         m_harness.runFor(seconds(1));
     }
@@ -27,7 +27,7 @@
 
     void cutOff(bool cut)
     {
-        m_harness.workers.machines().at(Only).isCutOff = cut;
+        m_harness.workers.machines().at(m_only).isCutOff = cut;
     }
 
     void replaceOwner()
@@ -57,7 +57,7 @@
         }
     }
 
-    const WorkerId Only{"w3"};
+    const WorkerId m_only{"w3"};
     EngineHarness m_harness;
 };
 
@@ -87,9 +87,9 @@
     submit("job");
     expectShown("job", true, seconds(1));
     cutOff(false);
-    m_harness.workers.restart(Only);
-    m_harness.workers.machines().at(Only).report.labels = {};
-    m_harness.engine->handleWorkerReport(m_harness.workers.machines().at(Only).report);
+    m_harness.workers.restart(m_only);
+    m_harness.workers.machines().at(m_only).report.labels = {};
+    m_harness.engine->handleWorkerReport(m_harness.workers.machines().at(m_only).report);
     expectShown("job", true, seconds(15));
 }
 
@@ -124,9 +124,9 @@
     m_harness.runFor(milliseconds(300));
     ASSERT_TRUE(hasBegun("job"));
     expectShown("job", false, seconds(1));
-    m_harness.workers.restart(Only);
-    m_harness.workers.machines().at(Only).report.labels = {};
-    m_harness.engine->handleWorkerReport(m_harness.workers.machines().at(Only).report);
+    m_harness.workers.restart(m_only);
+    m_harness.workers.machines().at(m_only).report.labels = {};
+    m_harness.engine->handleWorkerReport(m_harness.workers.machines().at(m_only).report);
     expectShown("job", false, seconds(5));
 }
 
