Workflow: a gang counts as waiting until all its members are present

What callers would see: the start of one member of a gang is not answered, the other members are accepted and wait for it. The job is shown as running and does not count in `waiting`, although its members work only together and none has begun.

Cause: the first accepted start of any member was taken for the begin of the job.

Evidence: WaitingJobs.gangWaitsWhileAMemberIsMissing failed before this change.

Why this works: a run is present once its worker accepted the start or lists it, and a member of a gang has begun once all members of the run are present. Progress, a checkpoint, and an end as done or failed prove the begin as well; a gang that breaks before it is complete does not.

FakeWorkers reported progress for members of an incomplete gang, which the platform's workers don't make; it reports 0 now. The model and the soak take the same moment for the begin of a gang.

--- a/include/corianderscale/Workflow/JobEngine.h
+++ b/include/corianderscale/Workflow/JobEngine.h
@@ -328,8 +328,12 @@
     EndEffect effectOf(const Worker &worker, const RunKey &key, EndKind kind) const;
     void runEnded(
         Worker &worker, const RunKey &key, EndKind kind, EndEffect effect, const std::string &checkpoint = {});
-    /** Called when the worker accepted the start of a run, or lists the run or its end. */
+    /** Called when the worker accepted the start of a run, or lists the run. */
+    void runPresent(Worker &worker, const RunKey &key, const char *evidence);
+    /** Called when a run is known to have begun; the worker may no longer have it. */
     void runBegun(Worker &worker, const RunKey &key, const char *evidence);
+    /** Whether the end of a run shows that it had begun. */
+    static bool provesBegin(const StepSpec &step, const EndedTask &end);
     void runGone(Worker &worker, const RunKey &key, const char *cause);
     void taskEnded(Job &job, const TaskKey &key, EndKind kind, const std::string &checkpoint, const WorkerId &worker);
     /** Marks the task done, or all tasks of its step if that is a gang, and stops their runs other than @p run. */
--- a/include/corianderscale/Workflow/WorkerTable.h
+++ b/include/corianderscale/Workflow/WorkerTable.h
@@ -33,7 +33,9 @@
     MonotonicTime startCallEndedAt;
     /** Whether an earlier owner placed the run; the worker ignores that owner's orders once it has seen this epoch. */
     bool earlierTerm = false;
-    /** Whether the run is known to have begun. */
+    /** Whether the worker accepted the start, or listed the run. */
+    bool present = false;
+    /** Whether the run is known to have begun: a member of a gang begins when all members are present. */
     bool begun = false;
     /** Whether the worker has listed the run as running. */
     bool seenRunning = false;
--- a/lib/Workflow/JobEngineOrders.cpp
+++ b/lib/Workflow/JobEngineOrders.cpp
@@ -183,7 +183,7 @@
     worker->nextHoldAt = std::min(worker->nextHoldAt, now);
     if (answer.outcome == OrderOutcome::Done) {
         found->second.start = StartState::Accepted;
-        runBegun(*worker, key, "start accepted");
+        runPresent(*worker, key, "start accepted");
         return;
     }
     logEvent(LogLevel::Info,
--- a/lib/Workflow/JobEngineRuns.cpp
+++ b/lib/Workflow/JobEngineRuns.cpp
@@ -80,6 +80,43 @@
     }
 }
 
+void JobEngine::runPresent(Worker &worker, const RunKey &key, const char *evidence)
+{
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end()) {
+        return;
+    }
+    run->second.present = true;
+    const Job *job = findJobOf(key.first);
+    if (job == nullptr || !job->step(key.first).gang) {
+        runBegun(worker, key, evidence);
+        return;
+    }
+    const StepTasks *tasks = job->openStep({key.first.occurrence, key.first.step});
+    if (tasks == nullptr || tasks->assigned() < tasks->count()) {
+        return;
+    }
+    std::vector<std::pair<Worker *, RunKey>> members;
+    for (const auto &[index, task] : tasks->states()) {
+        const RunKey member{{key.first.job, key.first.occurrence, key.first.step, index}, key.second};
+        Worker *host = m_workers.find(task.worker);
+        const auto found = host == nullptr ? worker.runs.end() : host->runs.find(member);
+        if (host == nullptr || found == host->runs.end() || !found->second.present) {
+            return;
+        }
+        members.emplace_back(host, member);
+    }
+    for (const auto &[host, member] : members) {
+        runBegun(*host, member, "all members of the gang are present");
+    }
+}
+
+bool JobEngine::provesBegin(const StepSpec &step, const EndedTask &end)
+{
+    // A member of a gang that was not complete has waited, but done no work.
+    return !step.gang || end.kind == EndKind::Done || end.kind == EndKind::Failed || !end.checkpoint.empty();
+}
+
 void JobEngine::runBegun(Worker &worker, const RunKey &key, const char *evidence)
 {
     const auto run = worker.runs.find(key);
@@ -238,6 +275,7 @@
         if (run.start != StartState::NotSent) {
             run.start = StartState::Unclear;
             run.startCallEndedAt = m_clock.now();
+            run.present = false;
         }
         Job *job = findJobOf(key.first);
         Task *task = job == nullptr ? nullptr : job->task(key.first);
@@ -338,7 +376,9 @@
             ++m_counts.completedAfterGivenUp;
         }
         recordHealth(worker, end);
-        runBegun(worker, {end.task, end.run}, "listed as ended");
+        if (ofJob != nullptr && provesBegin(ofJob->step(end.task), end)) {
+            runBegun(worker, {end.task, end.run}, "listed as ended");
+        }
         if (end.kind == EndKind::Done) {
             worker.failuresInRow = 0;
             worker.jobsOfFailures.clear();
@@ -418,7 +458,10 @@
             orphan.stopWanted = true;
             orphan.nextStopAt = now;
             m_workers.addRun(worker, orphan);
-            markBegun(key, "listed as running");
+            if (const Job *job = findJobOf(each.task);
+                job != nullptr && (!job->step(each.task).gang || each.percent > 0)) {
+                markBegun(key, "listed as running");
+            }
             raiseRunNumber(each.task, each.run);
             logEvent(LogLevel::Warning,
                      "run-not-wanted",
@@ -428,7 +471,7 @@
         Run &run = found->second;
         if (!run.seenRunning) {
             run.seenRunning = true;
-            runBegun(worker, key, "listed as running");
+            runPresent(worker, key, "listed as running");
             run.runningSince = now;
             run.progressedAt = now;
             run.sampledAt = now;
@@ -436,6 +479,8 @@
             run.samplePercent = each.percent;
         }
         if (each.percent > run.percent) {
+            // Members of a gang work only together.
+            runBegun(worker, key, "listed with progress");
             run.percent = each.percent;
             run.progressedAt = now;
         }
--- a/unittests/Soak/SoakCallers.cpp
+++ b/unittests/Soak/SoakCallers.cpp
@@ -55,8 +55,8 @@
     , m_advisedRandom(seed + 2000)
     , m_client(loop, AsyncHttpClient::Settings{})
 {
-    m_platform.workers.onStart = [this](const TaskKey &task, std::int64_t) {
-        checkTaskStart(task);
+    m_platform.workers.onStart = [this](const TaskKey &task, std::int64_t run) {
+        checkTaskStart(task, run);
     };
 }
 
@@ -374,12 +374,14 @@
     });
 }
 
-void SoakCallers::checkTaskStart(const TaskKey &task)
+void SoakCallers::checkTaskStart(const TaskKey &task, std::int64_t run)
 {
     const auto found = m_jobs.find(task.job);
     ASSERT_TRUE(found != m_jobs.end()) << "UNASKED: unknown job of task " << toString(task);
     Submission &job = *found->second;
-    job.begun = true;
+    const StepShape &shape = job.steps.at(task.step);
+    job.begun = job.begun || !shape.gang
+        || m_platform.workers.isGangPresent({task, run}, static_cast<std::size_t>(shape.tasks));
     EXPECT_FALSE(job.refused) << "REFUSED: " << toString(task) << " started although every submission was rejected";
     if (job.cancelledAt) {
         EXPECT_LT(m_platform.timeline.now() - *job.cancelledAt, CancelledStartLimit)
--- a/unittests/Soak/SoakCallers.h
+++ b/unittests/Soak/SoakCallers.h
@@ -101,7 +101,7 @@
                       const HttpResponse &response) const;
     /** The jobs of a queue that were accepted long enough ago to be counted and of which no task has begun. */
     std::vector<SubmissionPointer> jobsThatCountAsWaiting(const std::string &prefix) const;
-    void checkTaskStart(const workflow::TaskKey &task);
+    void checkTaskStart(const workflow::TaskKey &task, std::int64_t run);
     void checkFinalState(const Submission &job) const;
     void send(const std::string &method, const std::string &path, const std::string &body, AsyncHttpCompletion done);
     HttpRequest makeRequest(const std::string &method, const std::string &path, const std::string &body) const;
--- a/unittests/Workflow/FakeWorkers.h
+++ b/unittests/Workflow/FakeWorkers.h
@@ -145,6 +145,19 @@
         return machine;
     }
 
+    /** Whether all members of a gang of @p size are there with the run's number, so that they work. */
+    bool isGangPresent(const RunKey &key, std::size_t size) const
+    {
+        std::size_t members = 0;
+        for (std::size_t i = 0; i < size; ++i) {
+            const TaskKey member{key.first.job, key.first.occurrence, key.first.step, i};
+            const auto running = m_running.find(member);
+            const bool here = running != m_running.end() && running->second == key.second;
+            members += here || m_done.count(member) > 0 ? 1 : 0;
+        }
+        return members == size;
+    }
+
     /** Replaces the process of the worker; the new incarnation knows no runs, ends or epochs. */
     void restart(const WorkerId &id)
     {
@@ -418,7 +431,7 @@
             }
             return;
         }
-        if (behaviour.gang && !gangComplete(key, behaviour.gangSize)) {
+        if (behaviour.gang && !isGangPresent(key, behaviour.gangSize)) {
             end(machine, key, EndKind::GangIncomplete);
             breakGang(key, EndKind::GangBroken);
             return;
@@ -461,18 +474,6 @@
         return unequal ? left : Duration(0);
     }
 
-    bool gangComplete(const RunKey &key, std::size_t size) const
-    {
-        std::size_t members = 0;
-        for (std::size_t i = 0; i < size; ++i) {
-            const TaskKey member{key.first.job, key.first.occurrence, key.first.step, i};
-            const auto running = m_running.find(member);
-            const bool here = running != m_running.end() && running->second == key.second;
-            members += here || m_done.count(member) > 0 ? 1 : 0;
-        }
-        return members == size;
-    }
-
     void breakGang(const RunKey &key, EndKind kind)
     {
         for (auto &[id, machine] : m_machines) {
@@ -578,6 +579,9 @@
         if (behaviour.lasts) {
             return 100;
         }
+        if (behaviour.gang && !isGangPresent(key, behaviour.gangSize)) {
+            return 0;
+        }
         const Duration work = timeOf(machine, behaviour);
         const Duration ran = m_timeline.now() - machine.runs.at(key).startedAt;
         return static_cast<int>(std::min<std::int64_t>(100, 100 * ran.count() / work.count()));
--- a/unittests/Workflow/ModelChecks.cpp
+++ b/unittests/Workflow/ModelChecks.cpp
@@ -152,8 +152,10 @@
         return;
     }
     Known &job = found->second;
-    job.begunAt = job.begunAt.value_or(m_harness.timeline.now());
     const StepSpec &step = job.spec.steps.at(task.step);
+    if (!job.begunAt && (!step.gang || m_harness.workers.isGangPresent({task, run}, step.tasks))) {
+        job.begunAt = m_harness.timeline.now();
+    }
     if (!isReady(job, task.occurrence, task.step)) {
         fail("ORDER", toString(task) + " starts before the steps that it depends on are done");
     }
--- a/unittests/Workflow/WaitingJobsTest.cpp
+++ b/unittests/Workflow/WaitingJobsTest.cpp
@@ -143,6 +143,24 @@
     expectShown("job", false, seconds(1));
 }
 
+// Guards against a gang that counts as begun although one member is missing: its members work only together, so none
+// has.
+TEST_F(WaitingJobs, gangWaitsWhileAMemberIsMissing)
+{
+    cutOff(true);
+    StepSpec step = stepOf(6, 1, 1);
+    step.gang = true;
+    step.maximumPerWorker = 1;
+    m_harness.submit(m_harness.job("job", 1, {step}), {.work = minutes(5)});
+    expectShown("job", true, seconds(5));
+    ASSERT_GT(m_harness.workers.starts({JobId("job"), 0, 0, 0}), 0U);
+    cutOff(false);
+    m_harness.runFor(seconds(15));
+    ASSERT_EQ(m_harness.workers.runningTasks(), 6U);
+    EXPECT_EQ(m_harness.engine->counts().runsBegun, 6U);
+    expectShown("job", false, seconds(1));
+}
+
 // Guards against jobs stored by earlier versions, which showed a job as running when its start was stored, and that are
 // never shown as waiting; and against those that are never shown as running again.
 TEST_F(WaitingJobs, jobOfAnEarlierVersionIsShownByWhatItsWorkerSays)
